Share a server's connections among instances, and keep to the callers' idle limit

Cause: a server resets connections beyond what it takes from all instances together, and nothing kept an instance with a rush of its own to its part. The idle limit of callers' connections was fixed at 60 s whatever was published. Ruled out: a bound in the choice of plain servers alone, since kept connections and calls to stage servers count at the server too. Change: a send beyond the instance's even part fails before a byte has left and another server is chosen; the callers' listener takes the limits in force.

--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -162,6 +162,13 @@
 	return ser.rec.Failed(now)
 }
 
+// Spared notes that a chosen server wasn't asked, for a reason on this side.
+func (pol *Pool) Spared(id string) {
+	ser := pol.server(id)
+	ser.runs--
+	ser.rec.Dropped()
+}
+
 // Refused notes that the server was full, or is another one.
 func (pol *Pool) Refused(now time.Time, id string) {
 	ser := pol.server(id)
--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -8,6 +8,7 @@
 	"bufio"
 	"context"
 	"net"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -71,6 +72,8 @@
 
 	mu   sync.Mutex
 	idle map[string][]*conn
+	// open counts connections by address, those being opened and kept ones
+	// included.
 	open map[string]int
 	// made counts connections opened.
 	made int64
@@ -160,22 +163,58 @@
 	return err == nil && quiet
 }
 
-// get returns a connection and whether it was used before.
-func (poo *Pool) get(ctx context.Context, address string, fresh bool) (*conn, error) {
-	if !fresh {
-		if con := poo.take(address); con != nil {
+// TakenError is a send that would need more connections to a server than this
+// instance's part. The server resets what comes beyond all instances' parts, so
+// that others would lose requests to a sound server.
+type TakenError struct {
+	Address string
+	// Most is the part.
+	Most int
+}
+
+// Error names the server and the part.
+func (err *TakenError) Error() string {
+	return "all " + strconv.Itoa(err.Most) + " connections to " + err.Address + " are taken"
+}
+
+// get returns a kept connection or opens one.
+func (poo *Pool) get(ctx context.Context, snd Send) (*conn, error) {
+	if !snd.Fresh {
+		if con := poo.take(snd.Address); con != nil {
 			return con, nil
 		}
 	}
-	raw, err := poo.dlr.DialContext(ctx, "tcp", address)
+	if err := poo.claim(snd); err != nil {
+		return nil, err
+	}
+	raw, err := poo.dlr.DialContext(ctx, "tcp", snd.Address)
 	if err != nil {
+		poo.mu.Lock()
+		defer poo.mu.Unlock()
+		poo.unclaim(snd.Address)
 		return nil, err
 	}
+	return &conn{Conn: raw, address: snd.Address, rdr: bufio.NewReaderSize(raw, readBuffer)}, nil
+}
+
+// claim counts a connection that is about to be opened.
+func (poo *Pool) claim(snd Send) error {
 	poo.mu.Lock()
 	defer poo.mu.Unlock()
-	poo.open[address]++
+	if snd.Most > 0 && poo.open[snd.Address] >= snd.Most {
+		return &TakenError{Address: snd.Address, Most: snd.Most}
+	}
+	poo.open[snd.Address]++
 	poo.made++
-	return &conn{Conn: raw, address: address, rdr: bufio.NewReaderSize(raw, readBuffer)}, nil
+	return nil
+}
+
+// unclaim forgets a connection; the caller holds the lock.
+func (poo *Pool) unclaim(address string) {
+	poo.open[address]--
+	if poo.open[address] <= 0 {
+		delete(poo.open, address)
+	}
 }
 
 // keep gives a connection back for so long as its server keeps it.
@@ -195,10 +234,7 @@
 // drop closes a connection; the caller holds the lock.
 func (poo *Pool) drop(con *conn) {
 	_ = con.Close()
-	poo.open[con.address]--
-	if poo.open[con.address] <= 0 {
-		delete(poo.open, con.address)
-	}
+	poo.unclaim(con.address)
 }
 
 func (poo *Pool) discard(con *conn) {
--- /dev/null
+++ b/io/conns/conns_test.go
@@ -0,0 +1,72 @@
+package conns
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"lovagestream/core/call"
+	"lovagestream/io/clock"
+	"lovagestream/io/group"
+)
+
+// A server takes a number of connections from all instances together and
+// resets what comes beyond. An instance with a rush of its own would take the
+// others' part, and their callers would see resets from a sound server. Beyond
+// its part, a send fails before a byte has left, and works again when one ends.
+func TestPartOfConnections(t *testing.T) {
+	let := make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, req *http.Request) {
+		if req.URL.Path == "/wait" {
+			select {
+			case <-let:
+			case <-time.After(testWait):
+			}
+		}
+	}))
+	defer srv.Close()
+	poo := NewPool(clock.System{}, group.New(context.Background()), nil)
+	address := srv.Listener.Addr().String()
+	send := func(path string) error {
+		rep, err := poo.Do(context.Background(), Send{Address: address, Method: http.MethodGet, Target: path, Host: address, Most: 2}, "", func(int, http.Header) call.Answer { return call.Answer{} })
+		if err != nil {
+			return err
+		}
+		_, err = io.Copy(io.Discard, rep)
+		rep.Close()
+		return err
+	}
+	grp := group.New(context.Background())
+	ends := make(chan error, 2)
+	for range 2 {
+		grp.Go(func(context.Context) error {
+			ends <- send("/wait")
+			return nil
+		})
+	}
+	require.Eventually(t, func() bool { return poo.Made() == 2 }, testWait, testPoll)
+	err := send("/now")
+	var tak *TakenError
+	require.True(t, errors.As(err, &tak), "%v", err)
+	var snt *SentError
+	require.True(t, errors.As(err, &snt))
+	require.False(t, snt.Sent)
+	close(let)
+	require.NoError(t, <-ends)
+	require.NoError(t, <-ends)
+	require.NoError(t, send("/now"))
+	require.Equal(t, int64(2), poo.Made())
+	require.NoError(t, grp.Wait())
+}
+
+const (
+	// testWait bounds what the test waits for, testPoll is how often it looks.
+	testWait = 5 * time.Second
+	testPoll = time.Millisecond
+)
--- a/io/conns/exchange.go
+++ b/io/conns/exchange.go
@@ -24,6 +24,9 @@
 	// Fresh asks for a new connection: nobody but this request may have used
 	// it.
 	Fresh bool
+	// Most is how many connections this instance may hold to the server, kept
+	// ones included; 0 is no bound.
+	Most int
 }
 
 // Head reads what an answer's head says.
@@ -56,7 +59,7 @@
 // A late second answer to an earlier request may come where the answer to this
 // one is due; id tells them apart, and such answers are skipped.
 func (poo *Pool) Do(ctx context.Context, snd Send, id string, head Head) (*Reply, error) {
-	con, err := poo.get(ctx, snd.Address, snd.Fresh)
+	con, err := poo.get(ctx, snd)
 	if err != nil {
 		return nil, &SentError{Address: snd.Address, Cause: err}
 	}
--- a/io/edge/calls.go
+++ b/io/edge/calls.go
@@ -95,7 +95,11 @@
 	if err != nil {
 		return nil, batch.Unanswered, err
 	}
-	rep, err := cal.poo.Do(ctx, conns.Send{Address: ask.Server.Address, Method: method, Target: target, Host: ask.Server.Address, Fields: fields, Body: body}, "", cal.dia.Answer)
+	rep, err := cal.poo.Do(ctx, conns.Send{Address: ask.Server.Address, Method: method, Target: target, Host: ask.Server.Address, Fields: fields, Body: body, Most: cal.ctl.View().Connections(ask.Server.Service)}, "", cal.dia.Answer)
+	var tak *conns.TakenError
+	if errors.As(err, &tak) {
+		return nil, batch.Full, err
+	}
 	if err != nil {
 		return nil, batch.Unanswered, err
 	}
--- a/io/edge/node.go
+++ b/io/edge/node.go
@@ -15,6 +15,7 @@
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/pkg/errors"
 
+	"lovagestream/core/table"
 	"lovagestream/io/clock"
 	"lovagestream/io/conns"
 	"lovagestream/io/entry"
@@ -55,9 +56,10 @@
 	// defaultGrace is used where the settings name none.
 	defaultGrace = 8 * time.Second
 	// idleTime is how long a caller's connection may stand open without a
-	// request, longer than any published limit lets callers reuse it.
+	// request where no shorter limit is published.
 	idleTime = 60 * time.Second
-	// headTime bounds the sending of a request's head.
+	// headTime bounds the sending of a request's head where no shorter limit is
+	// published.
 	headTime = 10 * time.Second
 	// maxHeadBytes bounds a request's head before any limit is known.
 	maxHeadBytes = 64 << 10
@@ -129,11 +131,13 @@
 // build makes the listeners' servers. Paths go out as they came, so the
 // callers' server has no router that would clean or redirect them.
 func (nod *Node) build() {
-	callers := khttp.NewServer(khttp.Listener(nod.callers), khttp.Timeout(0), endpoint(nod.set.Callers))
+	lis := &callers{Listener: nod.callers, clk: nod.prt.Clock, limits: nod.limits}
+	callers := khttp.NewServer(khttp.Listener(lis), khttp.Timeout(0), endpoint(nod.set.Callers))
 	nod.calling = callers
 	callers.Handler = nod.srv
 	callers.IdleTimeout = idleTime
 	callers.ReadHeaderTimeout = headTime
+	callers.ConnState = noteIdle
 	callers.MaxHeaderBytes = maxHeadBytes
 	ready := khttp.NewServer(khttp.Listener(nod.ready), khttp.Timeout(0), endpoint(nod.set.Ready))
 	ready.Handler = http.HandlerFunc(nod.readiness)
@@ -152,6 +156,14 @@
 	)
 }
 
+// limits are those in force now.
+func (nod *Node) limits() table.Limits {
+	if tab := nod.ctl.View().Table; tab != nil {
+		return tab.Limits()
+	}
+	return table.Limits{}
+}
+
 // endpoint names a listener's address, which kratos would else look for among
 // the machine's interfaces; small machines have no such list.
 func endpoint(address string) khttp.ServerOption {
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -311,6 +311,7 @@
 	snd := conns.Send{
 		Address: address, Method: vis.req.Method, Target: vis.req.Target, Host: vis.req.Host,
 		Fields: vis.srv.dia.Outgoing(vis.req, ext), Body: vis.req.Body,
+		Most: vis.srv.ctl.View().Connections(vis.service),
 	}
 	return vis.srv.poo.Do(ctx, snd, vis.req.ID, vis.srv.dia.Answer)
 }
@@ -342,6 +343,12 @@
 	vis.answered = true
 }
 
+// taken reports a send for which this instance had no connection to spare.
+func taken(err error) bool {
+	var tak *conns.TakenError
+	return errors.As(err, &tak)
+}
+
 // notSent reports whether an error proves that no byte left.
 func notSent(err error) bool {
 	var snt *conns.SentError
--- a/io/entry/generate.go
+++ b/io/entry/generate.go
@@ -137,6 +137,9 @@
 	ext.Inputs, ext.HasInputs = inputs, len(vis.rou.Stages) > 0
 	ext.LastEvent = stm.last
 	rep, err := vis.sendTo(ctx, ent.Address, ext)
+	if taken(err) {
+		return sending{outcome{again: true, reason: "connections-taken", err: err}, place.Full}
+	}
 	if err != nil && notSent(err) {
 		return sending{outcome{again: true, reason: "not-reached", err: err}, place.Failed}
 	}
--- a/io/entry/plain.go
+++ b/io/entry/plain.go
@@ -161,6 +161,8 @@
 			pol.Left(vis.srv.clk.Now(), ent.ID, took)
 		case out.reason == "server-error":
 			pol.Answered(ent.ID, took)
+		case out.reason == "connections-taken":
+			pol.Spared(ent.ID)
 		case !out.ran && out.reason != "not-reached":
 			pol.Refused(vis.srv.clk.Now(), ent.ID)
 		default:
@@ -173,6 +175,9 @@
 func (vis *visit) exchange(ctx context.Context, ent stock.Entry) outcome {
 	repeatable := vis.rou.Kind == call.Idempotent
 	rep, err := vis.sendTo(ctx, ent.Address, vis.extras(ent.ID))
+	if taken(err) {
+		return outcome{again: true, reason: "connections-taken", err: err}
+	}
 	if err != nil && notSent(err) {
 		return outcome{again: true, reason: "not-reached", err: err}
 	}
--- a/io/entry/view.go
+++ b/io/entry/view.go
@@ -38,6 +38,20 @@
 	Repeats RepeatLimits
 }
 
+// Connections is how many connections this instance may hold to one server of a
+// service: an even part of what the server takes, and at least one. 0 is no
+// bound.
+func (viw *View) Connections(service string) int {
+	if viw.Table == nil {
+		return 0
+	}
+	svc := viw.Table.Service(service)
+	if svc == nil || svc.Connections == 0 {
+		return 0
+	}
+	return max(1, svc.Connections/max(1, viw.Known))
+}
+
 // RepeatLimits bounds requests that are sent once more, for all instances.
 type RepeatLimits struct {
 	Ratio  float64
