--- a/cmd/lovagestand/soak.go
+++ b/cmd/lovagestand/soak.go
@@ -8,45 +8,58 @@
 	"os"
 	"time"
 
-	"lovagestream/stand/soak"
+	"lovagestream/stand/field"
 	"lovagestream/stand/world"
 )
 
 func init() {
-	commands["soak"] = command{help: "run nine entry instances as processes under mixed faults, and audit the outcome", run: runSoak}
+	commands["soak"] = command{help: "run entry instances on the platform's fakes as processes under mixed faults, and hold what callers saw against what servers ran", run: runSoak}
 }
 
 func runSoak(ctx context.Context, args []string, out, errs io.Writer) int {
 	fls := flag.NewFlagSet("soak", flag.ContinueOnError)
 	fls.SetOutput(errs)
-	length := fls.Duration("for", time.Minute, "how long callers send")
-	seed := fls.Uint64("seed", 1, "seed of faults and requests")
-	rate := fls.Float64("rate", 40, "requests a second")
-	every := fls.Duration("every", 2*time.Second, "time between faults")
-	if err := fls.Parse(args); err != nil {
+	opt := field.Options{Out: out}
+	fls.Uint64Var(&opt.Seed, "seed", 1, "seed of faults and requests")
+	fls.DurationVar(&opt.Length, "for", time.Minute, "how long faults come")
+	fls.IntVar(&opt.Instances, "zone", 2, "entry instances in each of three zones")
+	fls.Float64Var(&opt.Rate, "rate", 40, "requests a second")
+	fls.DurationVar(&opt.Every, "every", 1500*time.Millisecond, "mean time between the starts of faults")
+	keep := fls.String("keep", "", "`folder` that keeps settings and lines")
+	if fls.Parse(args) != nil {
 		return exitUsage
 	}
-	dir, err := os.MkdirTemp("", "lovagestream-soak")
-	if err != nil {
-		fmt.Fprintln(errs, "lovagestand:", err)
-		return exitFailed
+	dir, err := workDir(*keep)
+	if err == nil {
+		if *keep == "" {
+			defer func() { _ = os.RemoveAll(dir) }()
+		}
+		err = world.Build(dir)
 	}
-	defer func() { _ = os.RemoveAll(dir) }()
-	if err := world.Build(dir); err != nil {
+	if err != nil {
 		fmt.Fprintln(errs, "lovagestand:", err)
 		return exitFailed
 	}
-	rep, err := soak.Run(ctx, dir, dir, soak.NewOptions(*seed, *length, *rate, *every, out))
+	opt.Dir = dir
+	rep, err := field.Run(ctx, opt)
 	if err != nil {
 		fmt.Fprintln(errs, "lovagestand:", err)
 		return exitFailed
 	}
-	fmt.Fprintf(out, "seed %d: %s\nattainment %.4f\n", *seed, rep, rep.Attainment())
-	for _, fin := range rep.Findings() {
-		fmt.Fprintln(out, fin)
+	for _, prb := range rep.Problems {
+		fmt.Fprintln(out, prb)
 	}
-	if len(rep.Findings()) > 0 {
+	fmt.Fprintf(out, "seed %d: %s\n", opt.Seed, rep)
+	if len(rep.Problems) > 0 {
 		return exitFailed
 	}
 	return exitOK
 }
+
+// workDir returns the folder asked for, or one of its own.
+func workDir(keep string) (string, error) {
+	if keep == "" {
+		return os.MkdirTemp("", "lovagestream-soak")
+	}
+	return keep, os.MkdirAll(keep, 0o700)
+}
--- a/cmd/lovagestream/edge.go
+++ b/cmd/lovagestream/edge.go
@@ -27,6 +27,7 @@
 	fls := newFlags("edge", "[flags]", edgeAbout, "  lovagestream edge -settings /etc/lovagestream/boot.yaml\n", errs)
 	path := fls.String("settings", os.Getenv(plat.EnvSettings), "settings `file` of the platform")
 	metrics := fls.Int("metrics", 0, "`port` for metrics on the instance's own address; 0 serves none")
+	told := fls.String("told", "", "`address` at which other instances reach this one, if it isn't where it listens")
 	if code := parse(fls, args); code >= 0 {
 		return code
 	}
@@ -34,7 +35,14 @@
 		fls.Usage()
 		return exitUsage
 	}
-	set, err := plat.Settings(*path)
+	read := func() (edge.Settings, error) {
+		set, err := plat.Settings(*path)
+		if *told != "" {
+			set.Told = *told
+		}
+		return set, err
+	}
+	set, err := read()
 	if err != nil {
 		fmt.Fprintln(errs, "lovagestream:", err)
 		return exitFailed
@@ -47,7 +55,7 @@
 		Source: func(dial func(context.Context, string, string) (net.Conn, error)) follow.Source {
 			return plat.NewStore(set.Store, dial)
 		},
-		Reload: func() (edge.Settings, error) { return plat.Settings(*path) },
+		Reload: read,
 		Lines:  lines.New(out, clock.System{}),
 		Clock:  clock.System{},
 	}
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -143,10 +143,10 @@
 	now := clk.Now()
 	ctl := &Control{
 		set: set, clk: clk, dec: dec, jou: jou, que: make(chan event, queueLength),
-		mem:  member.NewSet(member.Member{Address: set.Peers, Zone: set.Zone, Born: born, Share: set.Share}),
+		mem:  member.NewSet(member.Member{Address: set.Told, Zone: set.Zone, Born: born, Share: set.Share}),
 		book: stock.NewBook(), repeats: batch.NewRepeats(set.RepeatRatio, set.RepeatSlack, set.RepeatWindow),
 		strangers: map[string]int64{}, waiters: map[string]*waiter{}, behind: map[string]time.Time{}, unlike: map[string]time.Time{}, relinked: map[string]bool{}, frees: map[string][]string{},
-		verified: true, ticked: now, boot: bootTime(), deskAt: set.Peers, reread: func() {},
+		verified: true, ticked: now, boot: bootTime(), deskAt: set.Told, reread: func() {},
 	}
 	ctl.desk = batch.New(ctl, ctl.repeats)
 	ctl.mem.Seeds(now, set.Seeds)
@@ -323,8 +323,8 @@
 
 // Tell brings a verdict to its entry instance.
 func (ctl *Control) Tell(ver batch.Verdict) {
-	if ver.Key.Owner == ctl.set.Peers {
-		ctl.verdict(ctl.set.Peers, ver)
+	if ver.Key.Owner == ctl.set.Told {
+		ctl.verdict(ctl.set.Told, ver)
 		return
 	}
 	if !ctl.lnk.Send(ver.Key.Owner, mesh.Verdict{Verdict: ver}) {
--- a/io/edge/control_test.go
+++ b/io/edge/control_test.go
@@ -67,7 +67,7 @@
 	grp := group.New(context.Background())
 	t.Cleanup(grp.Stop)
 	jou := lines.New(&bytes.Buffer{}, clock.System{})
-	ctl := NewControl(Settings{Peers: "b", Zone: "z", Share: 400, RepeatRatio: 0.2, RepeatSlack: 10, RepeatWindow: 10 * time.Second}, clock.System{}, numbers{}, jou, 20)
+	ctl := NewControl(Settings{Told: "b", Zone: "z", Share: 400, RepeatRatio: 0.2, RepeatSlack: 10, RepeatWindow: 10 * time.Second}, clock.System{}, numbers{}, jou, 20)
 	lnk := &fakeLinks{down: map[string]bool{}, sent: map[string][]mesh.Message{}}
 	ctl.lnk = lnk
 	ctl.calls = newCaller(nil, nil, clock.System{}, grp, jou, gauge.New(), ctl)
--- a/io/edge/duties.go
+++ b/io/edge/duties.go
@@ -43,7 +43,7 @@
 		ctl.beatAt = now
 		ctl.beats(now)
 	}
-	if now.Sub(ctl.statedAt) >= statePeriod && ctl.deskAt == ctl.set.Peers {
+	if now.Sub(ctl.statedAt) >= statePeriod && ctl.deskAt == ctl.set.Told {
 		ctl.statedAt = now
 		ctl.states(now)
 	}
--- a/io/edge/handover.go
+++ b/io/edge/handover.go
@@ -29,10 +29,10 @@
 // reached.
 func (ctl *Control) hand(now time.Time, wai *waiter, desk string) {
 	wai.desk = desk
-	if desk != ctl.set.Peers && ctl.lnk.Send(desk, mesh.Submit{Spec: wai.spec}) {
+	if desk != ctl.set.Told && ctl.lnk.Send(desk, mesh.Submit{Spec: wai.spec}) {
 		return
 	}
-	wai.desk = ctl.set.Peers
+	wai.desk = ctl.set.Told
 	ctl.desk.Submit(now, wai.spec)
 }
 
@@ -48,7 +48,7 @@
 }
 
 func (ctl *Control) withdraw(now time.Time, wai *waiter) {
-	if wai.desk == ctl.set.Peers {
+	if wai.desk == ctl.set.Told {
 		ctl.desk.Cancel(now, wai.spec.Key)
 		return
 	}
@@ -61,7 +61,7 @@
 	wai := ctl.waiters[evt.id]
 	switch {
 	case wai == nil:
-	case wai.desk == ctl.set.Peers:
+	case wai.desk == ctl.set.Told:
 		ctl.desk.Began(now, wai.spec.Key)
 	default:
 		ctl.lnk.Send(wai.desk, mesh.Began{ID: evt.id})
@@ -79,7 +79,7 @@
 		return
 	}
 	delete(ctl.waiters, evt.id)
-	if wai.desk == ctl.set.Peers {
+	if wai.desk == ctl.set.Told {
 		ctl.desk.Ended(now, wai.spec.Key, evt.out)
 		return
 	}
@@ -100,10 +100,10 @@
 		return
 	}
 	wai.spec, wai.out, wai.placed, wai.engine = evt.spec, evt.out, false, ""
-	if wai.desk != ctl.set.Peers && ctl.lnk.Send(wai.desk, mesh.Retry{Spec: evt.spec, Outcome: evt.how, InputsGone: evt.inputsGone}) {
+	if wai.desk != ctl.set.Told && ctl.lnk.Send(wai.desk, mesh.Retry{Spec: evt.spec, Outcome: evt.how, InputsGone: evt.inputsGone}) {
 		return
 	}
-	wai.desk = ctl.set.Peers
+	wai.desk = ctl.set.Told
 	ctl.retry(now, evt.spec, evt.how, evt.inputsGone)
 }
 
@@ -143,7 +143,7 @@
 
 // unwanted gives a place back that nobody waits for.
 func (ctl *Control) unwanted(now time.Time, from string, ver batch.Verdict) {
-	if from == ctl.set.Peers {
+	if from == ctl.set.Told {
 		ctl.desk.Cancel(now, ver.Key)
 		return
 	}
@@ -156,7 +156,7 @@
 func (ctl *Control) takeOver(now time.Time) {
 	moved := 0
 	for _, wai := range ctl.waiters {
-		if wai.desk == ctl.set.Peers || ctl.mem.Live(now, wai.desk) {
+		if wai.desk == ctl.set.Told || ctl.mem.Live(now, wai.desk) {
 			continue
 		}
 		moved++
@@ -165,7 +165,7 @@
 			continue
 		}
 		wai.desk = ctl.deskAt
-		if ctl.deskAt == ctl.set.Peers {
+		if ctl.deskAt == ctl.set.Told {
 			ctl.desk.Adopt(now, wai.spec, wai.engine)
 			continue
 		}
--- a/io/edge/node.go
+++ b/io/edge/node.go
@@ -122,7 +122,7 @@
 	nod.ctl.calls = newCaller(prt.Dialect, nod.poo, prt.Clock, nod.grp, prt.Lines, nod.gau, nod.ctl)
 	nod.rdr = follow.New(prt.Source(dlr.DialContext), nod.ctl, prt.Clock, prt.Lines, nod.ctl.Duty, uint64(born))
 	nod.ctl.reread = nod.rdr.Restart
-	nod.srv = entry.New(set.Peers, set.Zone, nod.ctl, prt.Dialect, nod.poo, prt.Clock, prt.Lines, nod.gau)
+	nod.srv = entry.New(set.Told, set.Zone, nod.ctl, prt.Dialect, nod.poo, prt.Clock, prt.Lines, nod.gau)
 	nod.gauges()
 	nod.build()
 	return nod, nil
@@ -178,7 +178,7 @@
 
 // Run serves until a signal ends it.
 func (nod *Node) Run() error {
-	nod.prt.Lines.Note("start", lines.Fields{"name": nod.set.Name, "zone": nod.set.Zone, "callers": nod.set.Callers, "peers": nod.set.Peers, "store": nod.set.Store})
+	nod.prt.Lines.Note("start", lines.Fields{"name": nod.set.Name, "zone": nod.set.Zone, "callers": nod.set.Callers, "peers": nod.set.Peers, "told": nod.set.Told, "store": nod.set.Store})
 	// The writer outlives the rest, so that the last lines are written.
 	wctx, stop := context.WithCancel(context.Background())
 	out := group.New(wctx)
--- a/io/edge/settings.go
+++ b/io/edge/settings.go
@@ -12,11 +12,13 @@
 	IP   string
 	Zone string
 	// Callers, Ready, Peers and Metrics are addresses to listen on; Metrics may
-	// be empty. Peers is also what the others know this instance by.
+	// be empty.
 	Callers string
 	Ready   string
 	Peers   string
 	Metrics string
+	// Told is what the others know this instance by and reach it at.
+	Told string
 	// Seeds are peers' addresses; some may be stale.
 	Seeds []string
 	// Store is the address of the platform's store.
--- /dev/null
+++ b/stand/field/field_test.go
@@ -0,0 +1,117 @@
+package field
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"lovagestream/platform/fakes"
+)
+
+// A short run with real processes and faults of one seed.
+func TestShortSoak(t *testing.T) {
+	dir := t.TempDir()
+	cmd := exec.Command("go", "build", "-o", dir, "lovagestream/cmd/lovagestream")
+	cmd.Stderr = os.Stderr
+	require.NoError(t, cmd.Run())
+	var out bytes.Buffer
+	rep, err := Run(context.Background(), Options{Seed: 1, Length: 14 * time.Second, Instances: 1, Rate: 20, Every: 1500 * time.Millisecond, Dir: dir, Out: &out})
+	require.NoError(t, err)
+	require.Empty(t, rep.Problems, "%s", out.String())
+	require.Greater(t, rep.Served, rep.Sends/2)
+	logs, err := filepath.Glob(filepath.Join(dir, "*.log"))
+	require.NoError(t, err)
+	require.Len(t, logs, 3)
+}
+
+// planted is a finished run with one request of each sort, as a sound system
+// leaves it.
+func planted() (*Field, map[string]*send) {
+	jou := &fakes.Journal{}
+	ins := &instance{}
+	fld := &Field{jou: jou, servers: map[string]*server{}, faults: map[string]int{}}
+	for _, poo := range pools {
+		fld.servers[poo.service] = &server{service: poo.service, kind: poo.kind}
+	}
+	begun := time.Now()
+	fld.changes = []change{{at: begun.Add(-time.Minute), often: "plain"}, {at: begun.Add(-10 * time.Second), often: "other"}}
+	sends := map[string]*send{}
+	service := map[string]string{"once": "plain", "often": "other", "bare": "model", "llm": "model", "resume": "model"}
+	for _, srt := range sorts {
+		snd := &send{id: srt, sort: srt, body: "b", instance: ins, begun: begun, ended: begun.Add(time.Second), status: 200, signer: service[srt], got: fakes.Body(srt, srt), done: true}
+		sends[srt] = snd
+		fld.sends = append(fld.sends, snd)
+		run := fakes.Run{Server: service[srt], ID: srt, Method: "POST", Target: "/" + srt + "/x?n=" + srt, Body: "b", Ended: begun}
+		if srt == "llm" || srt == "resume" {
+			jou.Note(fakes.Run{Server: "second", ID: srt, Handle: "h-" + srt, Target: "stage 1 piece 0"})
+			run = run.WithInputs("h-" + srt)
+		}
+		jou.Note(run)
+	}
+	return fld, sends
+}
+
+// Each promise broken by hand is found, and nothing is found in a sound run.
+func TestPlantedProblems(t *testing.T) {
+	run := func(id, server string) fakes.Run {
+		return fakes.Run{Server: server, ID: id, Method: "POST", Target: "/" + id + "/x?n=" + id, Body: "b", Ended: time.Now()}
+	}
+	for name, cas := range map[string]struct {
+		found string
+		plant func(fld *Field, sends map[string]*send)
+	}{
+		"sound":                {"", func(*Field, map[string]*send) {}},
+		"ran twice":            {"TWICE", func(fld *Field, _ map[string]*send) { fld.jou.Note(run("once", "plain")) }},
+		"repeatable ran twice": {"", func(fld *Field, _ map[string]*send) { fld.jou.Note(run("often", "other")) }},
+		"refused and ran":      {"REFUSED", func(_ *Field, sends map[string]*send) { sends["once"].status, sends["once"].signer = 503, "" }},
+		"nobody asked":         {"UNASKED", func(fld *Field, _ map[string]*send) { fld.jou.Note(run("strange", "plain")) }},
+		"body changed": {"UNASKED", func(fld *Field, _ map[string]*send) {
+			odd := run("often", "other")
+			odd.Body = "c"
+			fld.jou.Note(odd)
+		}},
+		"another's answer":     {"MIXED", func(_ *Field, sends map[string]*send) { sends["once"].got = fakes.Body("once", "often") }},
+		"short as whole":       {"MIXED", func(_ *Field, sends map[string]*send) { sends["bare"].got = sends["bare"].got[:40] }},
+		"unsigned":             {"MIXED", func(_ *Field, sends map[string]*send) { sends["bare"].signer = "" }},
+		"signed by a stranger": {"MIXED", func(_ *Field, sends map[string]*send) { sends["bare"].signer = "other" }},
+		"another's result":     {"MIXED", func(fld *Field, _ map[string]*send) { fld.jou.Note(run("resume", "model").WithInputs("h-llm")) }},
+		"no result":            {"MIXED", func(fld *Field, _ map[string]*send) { fld.jou.Note(run("resume", "model")) }},
+		"events out of order": {"ORDER", func(_ *Field, sends map[string]*send) {
+			snd := sends["bare"]
+			snd.got, snd.err = fakes.Body("bare", "bare")[20:], errors.New("cut")
+		}},
+		"wrong service": {"ROUTE", func(fld *Field, _ map[string]*send) { fld.jou.Note(run("often", "model")) }},
+		"older version": {"CONFIG", func(fld *Field, _ map[string]*send) { fld.jou.Note(run("often", "plain")) }},
+		"older version, store down": {"", func(fld *Field, _ map[string]*send) {
+			fld.jou.Note(run("often", "plain"))
+			fld.spans = append(fld.spans, span{from: time.Now().Add(-5 * time.Second)})
+		}},
+		"left long ago": {"DRAIN", func(fld *Field, _ map[string]*send) { fld.servers["plain"].left = time.Now().Add(-5 * time.Second) }},
+		"left just now": {"", func(fld *Field, _ map[string]*send) { fld.servers["plain"].left = time.Now().Add(-time.Second) }},
+		"broke off":     {"LOST", func(_ *Field, sends map[string]*send) { sends["once"].err = errors.New("reset") }},
+		"held":          {"CONFIG", func(_ *Field, sends map[string]*send) { sends["once"].ended = sends["once"].begun.Add(5 * time.Second) }},
+		"never ended":   {"LOST", func(_ *Field, sends map[string]*send) { sends["once"].done = false }},
+		"caller had left": {"GONE", func(fld *Field, sends map[string]*send) {
+			sends["bare"].left = sends["bare"].begun.Add(-2 * time.Second)
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			fld, sends := planted()
+			cas.plant(fld, sends)
+			rep := fld.report()
+			if cas.found == "" {
+				require.Empty(t, rep.Problems)
+				return
+			}
+			require.Contains(t, strings.Join(rep.Problems, "\n"), cas.found+" ")
+		})
+	}
+}
--- /dev/null
+++ b/stand/field/run.go
@@ -0,0 +1,70 @@
+package field
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"lovagestream/io/group"
+)
+
+// Run makes one run and reports what it showed.
+func Run(ctx context.Context, opt Options) (Report, error) {
+	fld, err := Start(ctx, opt)
+	if err != nil {
+		return Report{}, err
+	}
+	fld.play(ctx)
+	for _, ins := range fld.instances {
+		if !ins.prc.Running() {
+			fld.problem("%s ended by itself", ins.boot.Name)
+		}
+	}
+	fld.Stop()
+	return fld.report(), nil
+}
+
+// play sends and breaks side by side, then lets all settle and counts whether
+// requests are served again.
+func (fld *Field) play(ctx context.Context) {
+	sending, stop := context.WithCancel(ctx)
+	defer stop()
+	callers := group.New(ctx)
+	callers.Go(func(context.Context) error { return fld.callers(sending) })
+	breaking, cancel := context.WithTimeout(ctx, fld.opt.Length)
+	defer cancel()
+	if fld.opt.Every > 0 {
+		_ = fld.breakThings(breaking)
+	} else {
+		<-breaking.Done()
+	}
+	pause(ctx, recovery)
+	from := time.Now()
+	pause(ctx, calm)
+	stop()
+	_ = callers.Wait()
+	fld.answered(ctx)
+	served, all := fld.recovered(from)
+	fmt.Fprintf(fld.opt.Out, "served once calm: %d of %d\n", served, all)
+	if float64(served) < servedShare*float64(all) || all == 0 {
+		fld.problem("RECOVER %d of %d are served once calm", served, all)
+	}
+}
+
+// answered waits until all callers have their answers.
+func (fld *Field) answered(ctx context.Context) {
+	for end := time.Now().Add(answerWait + time.Second); time.Now().Before(end) && fld.waiting(); {
+		pause(ctx, lookEvery/10)
+	}
+}
+
+func (fld *Field) waiting() bool {
+	fld.mu.Lock()
+	defer fld.mu.Unlock()
+	for _, snd := range fld.sends {
+		if !snd.done {
+			return true
+		}
+	}
+	return false
+}
--- a/stand/world/machine.go
+++ b/stand/world/machine.go
@@ -143,7 +143,7 @@
 	if err := os.WriteFile(path, []byte(txt), 0o600); err != nil {
 		return err
 	}
-	prc, got, err := start(name, filepath.Join(wor.bin, "lovagestream"), []string{"serve", "-settings", path}, serving)
+	prc, got, err := Start(name, filepath.Join(wor.bin, "lovagestream"), []string{"serve", "-settings", path}, serving)
 	if err != nil {
 		return err
 	}
--- a/stand/world/proc.go
+++ b/stand/world/proc.go
@@ -41,9 +41,9 @@
 	output bytes.Buffer
 }
 
-// start runs a program and waits until a line of its output matches; it
+// Start runs a program and waits until a line of its output matches; it
 // returns the match's groups.
-func start(name, path string, args []string, ready *regexp.Regexp) (*Process, []string, error) {
+func Start(name, path string, args []string, ready *regexp.Regexp) (*Process, []string, error) {
 	prc := &Process{name: name, grp: group.New(context.Background()), done: make(chan struct{})}
 	prc.cmd = exec.Command(path, args...)
 	rdr, wri := io.Pipe()
@@ -117,6 +117,9 @@
 // Wake lets a paused process go on.
 func (prc *Process) Wake() { _ = prc.cmd.Process.Signal(syscall.SIGCONT) }
 
+// Reload asks it to read its settings again.
+func (prc *Process) Reload() { _ = prc.cmd.Process.Signal(syscall.SIGHUP) }
+
 // Terminate asks for a planned stop.
 func (prc *Process) Terminate() { _ = prc.cmd.Process.Signal(syscall.SIGTERM) }
 
--- a/stand/world/world.go
+++ b/stand/world/world.go
@@ -95,7 +95,7 @@
 
 // stand starts a stand-in and waits until it listens.
 func (wor *World) stand(name string, args ...string) (*Process, []string, error) {
-	return start(name, filepath.Join(wor.bin, "lovagestand"), args, listening)
+	return Start(name, filepath.Join(wor.bin, "lovagestand"), args, listening)
 }
 
 // Close ends every process.
