Let a server without room rest until something expires or is given up

Change: a server that could make nothing rests for an empty call's length, or until a result there is given up; a piece without room isn't counted as tried. The emulator's calls without results end at once now, as those of the platform do.

--- a/core/batch/batch_test.go
+++ b/core/batch/batch_test.go
@@ -316,3 +316,52 @@
 		out.calls = out.calls[:0]
 	}
 }
+
+// The instance that formed the calls dies in a burst. Its results fill the
+// servers' room, and whoever takes over knows nothing of them. A call of which
+// nothing can be made ends at once; sent again at once, it came back twenty
+// times a second from each server, and jobs were given up after six times.
+func TestServerWithoutRoomRests(t *testing.T) {
+	dsk, out := newDesk(both...)
+	dsk.Submit(start, spec("a", 8, 1))
+	now := start
+	full := func(cal Call) {
+		res := make([]Result, len(cal.Items))
+		for idx := range res {
+			res[idx].Reason = NoRoom
+		}
+		dsk.CallEnded(now, cal.Number, res, Answered)
+	}
+	for range 2 * mostTries {
+		got := out.take()
+		require.Len(t, got, 1)
+		full(got[0])
+		require.Empty(t, out.take(), "nothing at once")
+		now = now.Add(noRoomRest + time.Millisecond)
+		dsk.Tick(now)
+		if len(out.verdicts) > 0 {
+			break
+		}
+	}
+	require.NotEqual(t, "pieces-fail", out.verdicts["a"].Reason, "a server without room says nothing of its pieces")
+}
+
+// A server without room rests, and one of its results is given up. It has room
+// again, and must be asked at once.
+func TestRoomThatIsGivenUpEndsTheRest(t *testing.T) {
+	dsk, out := newDesk(both...)
+	dsk.Submit(start, spec("a", 4, 1))
+	first := out.take()[0]
+	dsk.Submit(start, spec("b", 4, 1))
+	answer(dsk, start, first)
+	for _, cal := range out.take() {
+		if cal.Server.ID == "f1" {
+			dsk.CallEnded(start, cal.Number, []Result{{Reason: NoRoom}, {Reason: NoRoom}, {Reason: NoRoom}, {Reason: NoRoom}}, Answered)
+		}
+	}
+	require.Empty(t, out.take())
+	dsk.Cancel(start, Key{"me", "a"})
+	got := out.take()
+	require.Len(t, got, 1)
+	require.Equal(t, "b", got[0].Items[0].ID)
+}
--- a/core/batch/desk.go
+++ b/core/batch/desk.go
@@ -38,6 +38,9 @@
 	FullCapacity bool
 	// ForgetRefused takes callers that come back for new ones.
 	ForgetRefused bool
+	// AskFull asks a server without room again at once, and takes it for the
+	// pieces' fault.
+	AskFull bool
 	// AdmitAll refuses nobody at the door.
 	AdmitAll bool
 }
--- a/core/batch/finish.go
+++ b/core/batch/finish.go
@@ -33,6 +33,11 @@
 }
 
 const (
+	// noRoomRest is how long a server gets nothing that could make none of a
+	// call's pieces, unless a result there is given up before: an empty call's
+	// length. Its room is filled by results that nobody knows of, which expire
+	// one after the other within seconds.
+	noRoomRest = 150 * time.Millisecond
 	// fullRest is how long a server that said it is full gets nothing: about
 	// half a call, since another instance's calls are at it.
 	fullRest = 80 * time.Millisecond
@@ -61,7 +66,7 @@
 	case Answered:
 		ser.rec.Succeeded()
 		fli.pool.learn(now, fli)
-		ser.weigh(results)
+		ser.weigh(now, results, dsk.ply.AskFull)
 		dsk.take(now, fli, results)
 	case Full:
 		ser.fullUntil = now.Add(fullRest)
@@ -148,6 +153,10 @@
 		return
 	}
 	pie.turn(stateWaiting)
+	if why == NoRoom && !dsk.ply.AskFull {
+		// That says nothing of the piece.
+		pie.tries--
+	}
 	if why == InputGone {
 		// One of the inputs is gone; which one isn't told, so those made by a
 		// server in doubt, or else all, are made again.
@@ -171,14 +180,27 @@
 // Load pattern: in a burst the room of every server is full to the last result.
 // A piece without room costs its part of a call; a server that rested for it
 // cost a tenth of its pool (two to three of seventeen servers at any time).
-func (ser *server) weigh(results []Result) {
-	ser.puff = max(1, ser.puff*puffBack)
+//
+// Where none of a call's pieces found room, results that nobody knows of fill
+// it: those of an instance that formed calls before and died. Such a call ends
+// at once, and one sent again at once came back twenty times a second from each
+// server: it took the forming instance's processor and, after six times, every
+// job that needed the pool (20,000 pieces and 1,400 jobs within three seconds
+// of the loss of one of 75 instances).
+func (ser *server) weigh(now time.Time, results []Result, askFull bool) {
+	without := 0
 	for _, res := range results {
 		if res.Reason == NoRoom {
-			ser.puff = min(puffMost, ser.puff*puffStep)
-			return
+			without++
 		}
 	}
+	ser.puff = max(1, ser.puff*puffBack)
+	if without > 0 {
+		ser.puff = min(puffMost, ser.puff*puffStep)
+	}
+	if without == len(results) && !askFull {
+		ser.crowdedUntil = now.Add(noRoomRest)
+	}
 }
 
 // fits reports whether so many bytes of results in all find room.
--- a/core/batch/pool.go
+++ b/core/batch/pool.go
@@ -58,8 +58,10 @@
 	slow float64
 	// slowAt is when slow was last moved.
 	slowAt time.Time
-	// fullUntil is set when the server said that it is full.
-	fullUntil time.Time
+	// fullUntil is set when the server said that it is full, crowdedUntil when
+	// it had no room for a single result.
+	fullUntil    time.Time
+	crowdedUntil time.Time
 }
 
 // flight is one call under way.
@@ -189,13 +191,14 @@
 	if ser.made[pie] {
 		delete(ser.made, pie)
 		ser.used -= pie.stage.size
+		ser.crowdedUntil = time.Time{}
 	}
 	pie.server = nil
 }
 
 // usable reports whether a server may get calls.
 func (ser *server) usable(now time.Time) bool {
-	return !ser.gone && !ser.ent.Leaving && ser.rec.Usable(now) && !now.Before(ser.fullUntil)
+	return !ser.gone && !ser.ent.Leaving && ser.rec.Usable(now) && !now.Before(ser.fullUntil) && !now.Before(ser.crowdedUntil)
 }
 
 // lead is how long before a call's expected end the next one is sent, so that
--- a/stand/replay/replay.go
+++ b/stand/replay/replay.go
@@ -122,6 +122,7 @@
 	"any-zone":       {AnyZone: true},
 	"full-capacity":  {FullCapacity: true},
 	"forget-refused": {ForgetRefused: true},
+	"ask-full":       {AskFull: true},
 	"admit-all":      {AdmitAll: true, HoldHopeless: true},
 }
 
--- a/stand/replay/server.go
+++ b/stand/replay/server.go
@@ -93,16 +93,22 @@
 
 func (ser *server) work(got *atServer) {
 	ser.busy = true
-	took := ser.pol.Call.d()
+	took := time.Duration(0)
 	results := make([]batch.Result, len(got.cal.Items))
 	var sizes []int64
 	for idx, itm := range got.cal.Items {
 		req := ser.wld.find(itm.ID)
 		stg := req.kind.Stages[itm.Stage]
-		took += time.Duration(stg.Work * float64(ser.pol.Piece))
 		results[idx] = ser.make(itm, stg)
+		if results[idx].Reason == batch.Made {
+			took += time.Duration(stg.Work * float64(ser.pol.Piece))
+		}
 		sizes = append(sizes, stg.Bytes)
 	}
+	// A call of which nothing can be made ends at once.
+	if took > 0 {
+		took += ser.pol.Call.d()
+	}
 	took = time.Duration(float64(took) * ser.slow)
 	life := ser.life
 	ser.wld.after(took, func() {
