Count the crowd of readers by all known members

The lines say why: the crowd was 7 for most, since an instance of a large fleet sees but the hubs. Change: it counts all that it heard of; who hears nobody asks as one alone. Test: far members, and an instance cut off, in TestReadersKnowTheirCrowd.

--- a/core/member/member.go
+++ b/core/member/member.go
@@ -276,14 +276,18 @@
 // so for the same reason: the eldest of each zone reads, whether it leaves or
 // not, and everybody who hears no fresh news.
 func (set *Set) Reader(now time.Time) (reads bool, crowd int) {
-	live := 1
+	// Who sees but the hubs counts all that it heard of.
+	known, alone := 1, true
 	first := true
 	news := false
 	for _, inf := range set.others {
+		if inf.Born > 0 {
+			known++
+		}
 		if !inf.live(now) {
 			continue
 		}
-		live++
+		alone = false
 		if inf.Zone == set.self.Zone && inf.beat.Ready && elder(inf.Member, set.self) {
 			first = false
 		}
@@ -292,10 +296,10 @@
 		}
 	}
 	switch {
-	case first:
+	case first || alone:
 		return true, 1
 	case !news:
-		return true, live
+		return true, known
 	}
 	return false, 0
 }
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -136,4 +136,13 @@
 	got, crowd = set.Reader(start)
 	require.True(t, got)
 	require.Equal(t, 41, crowd)
+	// Most of a large fleet is heard of through hubs alone, and counts as well.
+	for num := range 20 {
+		set.Learn(start, []Member{{Address: "far" + string(rune('A'+num)), Zone: "y", Born: 1, Share: 100}})
+	}
+	_, crowd = set.Reader(start)
+	require.Equal(t, 61, crowd)
+	// Cut off from all, an instance asks as often as one alone.
+	_, crowd = set.Reader(start.Add(time.Minute))
+	require.Equal(t, 1, crowd)
 }
