Give late jobs up by what the pools can do, not by a rush's moment

Change: the pass takes the pools' full capacity; admission of late jobs stays. Red first: TestQueueOutlivesARush.

--- a/core/batch/batch_test.go
+++ b/core/batch/batch_test.go
@@ -365,3 +365,23 @@
 	require.Len(t, got, 1)
 	require.Equal(t, "b", got[0].Items[0].ID)
 }
+
+// A queue of late jobs stands, and for a moment a rush takes all of the pool.
+// Held against that moment the whole queue was given up at once, and servers
+// stood idle a second later.
+func TestQueueOutlivesARush(t *testing.T) {
+	dsk, out := newDesk(append(both, entry("first", "f2", "z"), entry("first", "f3", "z"))...)
+	for num := range 30 {
+		dsk.Submit(start, spec(fmt.Sprintf("%c", 'A'+num), 2, 1))
+	}
+	require.Empty(t, out.verdicts)
+	now := start.Add(200 * time.Millisecond)
+	for _, cal := range out.take() {
+		answer(dsk, now, cal)
+	}
+	now = start.Add(1250 * time.Millisecond)
+	dsk.pools["first"].flow(now, 60*time.Second)
+	dsk.Tick(now)
+	require.True(t, dsk.jobs[Key{"me", "Z"}].rank.late)
+	require.Empty(t, out.verdicts)
+}
--- a/core/batch/prune.go
+++ b/core/batch/prune.go
@@ -22,6 +22,10 @@
 // Load pattern: a burst fills the queue with requests that are late already;
 // what comes later and in time goes before them, so that some of them will
 // never have their turn, which shows only after they were admitted.
+//
+// The wait is taken at the pools' full capacity. What jobs in time leave of it
+// goes up and down within a second: held against that, hundreds of jobs were
+// given up at one moment after 0.7 s, and servers stood idle the next.
 func (dsk *Desk) prune(now time.Time) {
 	jobs := make([]*job, 0, len(dsk.list))
 	for _, job := range dsk.list {
@@ -68,9 +72,7 @@
 		if stg.left == 0 {
 			continue
 		}
-		bkl := stg.pool.ahead
-		bkl.servers *= stg.pool.spare(now, bkl.servers)
-		wait = max(wait, bkl.wait())
+		wait = max(wait, stg.pool.ahead.wait())
 	}
 	job.expected = wait + least
 	return float64(wait+least) > pruneMargin*float64(left)
--- a/stand/replay/replay.go
+++ b/stand/replay/replay.go
@@ -91,7 +91,7 @@
 	Name      string   `yaml:"name"`
 	Story     string   `yaml:"story"`
 	Baselines []string `yaml:"baselines"`
-	// Measure is what the baselines are compared by: value, served, crossed.
+	// Measure is what the baselines are compared by; see Measured.
 	Measure   string   `yaml:"measure"`
 	Length    duration `yaml:"length"`
 	Instances int      `yaml:"instances"`
@@ -170,6 +170,8 @@
 	// stage servers' work for nothing.
 	Crossed float64
 	Wasted  float64
+	// Empty counts calls of which nothing was made for want of room.
+	Empty int
 	// Held is the longest that a request waited which got no answer.
 	Held time.Duration
 	// Kinds are the shares of worth by kind.
@@ -185,6 +187,8 @@
 		return -res.Crossed
 	case "held":
 		return -res.Held.Seconds()
+	case "empty":
+		return -float64(res.Empty)
 	}
 	return res.Value
 }
@@ -202,7 +206,7 @@
 
 // String is a line of a table.
 func (res Result) String() string {
-	return fmt.Sprintf("value %.3f served %.3f refused %d crossed %.2f GB wasted %.1f s held %s", res.Value, res.Served, res.Refused, res.Crossed, res.Wasted, res.Held.Round(10*time.Millisecond))
+	return fmt.Sprintf("value %.3f served %.3f refused %d crossed %.2f GB wasted %.1f s held %s empty %d", res.Value, res.Served, res.Refused, res.Crossed, res.Wasted, res.Held.Round(10*time.Millisecond), res.Empty)
 }
 
 // timed is something due at a time; num keeps the order of equals.
--- a/stand/replay/server.go
+++ b/stand/replay/server.go
@@ -108,6 +108,8 @@
 	// A call of which nothing can be made ends at once.
 	if took > 0 {
 		took += ser.pol.Call.d()
+	} else {
+		ser.wld.res.Empty++
 	}
 	took = time.Duration(float64(took) * ser.slow)
 	life := ser.life
