--- a/cmd/lovagestream/edge.go
+++ b/cmd/lovagestream/edge.go
@@ -12,6 +12,8 @@
 	"lovagestream/io/edge"
 	"lovagestream/io/follow"
 	"lovagestream/io/lines"
+	"lovagestream/io/setup"
+	"lovagestream/io/trace"
 	plat "lovagestream/platform"
 )
 
@@ -23,11 +25,16 @@
 stands in ` + plat.EnvSettings + `. Lines go to standard output. SIGTERM begins a
 planned stop, SIGHUP reads the settings again.`
 
+// defaultShare keeps spans under a thousandth of what an instance sends.
+const defaultShare = 0.01
+
 func runEdge(args []string, out, errs io.Writer) int {
 	fls := newFlags("edge", "[flags]", edgeAbout, "  lovagestream edge -settings /etc/lovagestream/boot.yaml\n", errs)
 	path := fls.String("settings", os.Getenv(plat.EnvSettings), "settings `file` of the platform")
 	metrics := fls.Int("metrics", 0, "`port` for metrics on the instance's own address; 0 serves none")
 	told := fls.String("told", "", "`address` at which other instances reach this one, if it isn't where it listens")
+	traces := fls.String("traces", "", "`address` of a collector that takes spans over OTLP with gRPC; none are made without")
+	share := fls.Float64("traces-share", defaultShare, "share of the requests that spans are made of")
 	if code := parse(fls, args); code >= 0 {
 		return code
 	}
@@ -59,6 +66,12 @@
 		Lines:  lines.New(out, clock.System{}),
 		Clock:  clock.System{},
 	}
+	if *traces != "" {
+		if prt.Tracer, err = trace.New(setup.CollectorTraces(*traces, *share), set.Name); err != nil {
+			fmt.Fprintln(errs, "lovagestream:", err)
+			return exitFailed
+		}
+	}
 	nod, err := edge.New(context.Background(), set, prt)
 	if err == nil {
 		err = nod.Run()
--- a/io/edge/node.go
+++ b/io/edge/node.go
@@ -24,6 +24,7 @@
 	"lovagestream/io/group"
 	"lovagestream/io/lines"
 	"lovagestream/io/mesh"
+	"lovagestream/io/trace"
 )
 
 // Dialect is everything that must be translated.
@@ -42,6 +43,8 @@
 	Reload func() (Settings, error)
 	Lines  *lines.Writer
 	Clock  clock.Service
+	// Tracer is nil where no spans are made.
+	Tracer *trace.Tracer
 }
 
 const (
@@ -122,7 +125,7 @@
 	nod.ctl.calls = newCaller(prt.Dialect, nod.poo, prt.Clock, nod.grp, prt.Lines, nod.gau, nod.ctl)
 	nod.rdr = follow.New(prt.Source(dlr.DialContext), nod.ctl, prt.Clock, prt.Lines, nod.ctl.Duty, uint64(born))
 	nod.ctl.reread = nod.rdr.Restart
-	nod.srv = entry.New(set.Told, set.Zone, nod.ctl, prt.Dialect, nod.poo, prt.Clock, prt.Lines, nod.gau)
+	nod.srv = entry.New(set.Told, set.Zone, nod.ctl, prt.Dialect, nod.poo, prt.Clock, prt.Lines, nod.gau).WithTracer(prt.Tracer)
 	nod.gauges()
 	nod.build()
 	return nod, nil
@@ -198,6 +201,24 @@
 	nod.prt.Lines.Note("stop", lines.Fields{"name": nod.set.Name})
 	stop()
 	_ = out.Wait()
+	return errors.Wrap(nod.endTraces(err), "run")
+}
+
+// traceEnd bounds the sending of the last spans.
+const traceEnd = time.Second
+
+// endTraces sends what is left of the spans.
+func (nod *Node) endTraces(err error) error {
+	if nod.prt.Tracer == nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	dog := nod.prt.Clock.Watch(traceEnd, cancel)
+	defer dog.Stop()
+	if cerr := nod.prt.Tracer.Close(ctx); err == nil {
+		err = cerr
+	}
 	return err
 }
 
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/attribute"
 
 	"lovagestream/core/batch"
 	"lovagestream/core/call"
@@ -23,6 +24,7 @@
 	"lovagestream/io/conns"
 	"lovagestream/io/gauge"
 	"lovagestream/io/lines"
+	"lovagestream/io/trace"
 )
 
 // Dialect translates between the outside's format and the product's types.
@@ -63,6 +65,7 @@
 	zone string
 	name string
 	pln  *plain
+	trc  *trace.Tracer
 	// active counts requests under way.
 	active atomic.Int64
 }
@@ -72,6 +75,13 @@
 	return &Server{ctl: ctl, dia: dia, poo: poo, clk: clk, jou: jou, gau: gau, zone: zone, name: name, pln: newPlain()}
 }
 
+// WithTracer makes spans of requests. It must be called before the server
+// serves.
+func (srv *Server) WithTracer(trc *trace.Tracer) *Server {
+	srv.trc = trc
+	return srv
+}
+
 // Active counts requests under way.
 func (srv *Server) Active() int64 { return srv.active.Load() }
 
@@ -97,20 +107,39 @@
 	sent int
 	// answered is set when the caller's answer has begun.
 	answered bool
+	// spn is the request's span; status and reason are how it ended.
+	spn    trace.Span
+	status int
+	reason string
+}
+
+// endSpan ends the request's span with its outcome.
+func (vis *visit) endSpan() {
+	vis.spn.Set(attribute.String("id", vis.req.ID), attribute.Int("status", vis.status), attribute.String("reason", vis.reason), attribute.String("service", vis.service))
+	var err error
+	if vis.status >= http.StatusInternalServerError {
+		err = errors.New(vis.reason)
+	}
+	vis.spn.End(err)
 }
 
 // ServeHTTP serves one request.
 func (srv *Server) ServeHTTP(wri http.ResponseWriter, htr *http.Request) {
 	srv.active.Add(1)
 	defer srv.active.Add(-1)
-	vis := &visit{srv: srv, wri: wri, viw: srv.ctl.View(), arrived: srv.clk.Now()}
+	vis := &visit{srv: srv, wri: wri, req: &call.Request{}, viw: srv.ctl.View(), arrived: srv.clk.Now()}
 	if !vis.viw.Closing.IsZero() {
 		wri.Header().Set("Connection", "close")
 	}
+	ctx := htr.Context()
+	if srv.trc != nil {
+		ctx, vis.spn = srv.trc.Enter(ctx, htr.Header, "request")
+		defer vis.endSpan()
+	}
 	if !vis.open(htr) {
 		return
 	}
-	ctx, cancel := context.WithCancel(htr.Context())
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	dog := srv.clk.Watch(vis.end.Sub(vis.arrived), cancel)
 	defer dog.Stop()
@@ -280,6 +309,7 @@
 	if vis.acc != nil {
 		fie["account"] = vis.acc.Name
 	}
+	vis.status, vis.reason = status, reason
 	vis.count(status, reason)
 	vis.srv.jou.Note(endKind(status), fie)
 }
@@ -307,7 +337,9 @@
 }
 
 // sendTo makes the exchange with one server.
-func (vis *visit) sendTo(ctx context.Context, address string, ext call.Extras) (*conns.Reply, error) {
+func (vis *visit) sendTo(ctx context.Context, address string, ext call.Extras) (rep *conns.Reply, err error) {
+	_, spn := trace.Start(ctx, "send", attribute.String("server", ext.Server))
+	defer func() { spn.End(err) }()
 	snd := conns.Send{
 		Address: address, Method: vis.req.Method, Target: vis.req.Target, Host: vis.req.Host,
 		Fields: vis.srv.dia.Outgoing(vis.req, ext), Body: vis.req.Body,
--- a/io/entry/generate.go
+++ b/io/entry/generate.go
@@ -14,6 +14,7 @@
 	"lovagestream/core/stock"
 	"lovagestream/io/conns"
 	"lovagestream/io/lines"
+	"lovagestream/io/trace"
 )
 
 func itoa(num int) string { return strconv.Itoa(num) }
@@ -30,7 +31,9 @@
 	last := sending{outcome: outcome{reason: "no-verdict"}}
 	verdict := vis.srv.ctl.Submit(spc)
 	for range mostSends {
+		_, spn := trace.Start(ctx, "stages")
 		ver, ok := vis.await(ctx, verdict)
+		spn.End(ctx.Err())
 		if !ok {
 			break
 		}
--- a/io/setup/traces.go
+++ b/io/setup/traces.go
@@ -23,6 +23,15 @@
 	share    float64
 }
 
+// CollectorTraces sends a share of the requests' spans to a collector on the
+// instance's own network.
+func CollectorTraces(endpoint string, share float64) Traces {
+	return Traces{exporter: TracesOTLP, endpoint: endpoint, share: share}
+}
+
+// FileTraces adds the spans of all requests to a file.
+func FileTraces(path string) Traces { return Traces{exporter: TracesFile, file: path, share: 1} }
+
 // Exporter returns where traces go.
 func (trs Traces) Exporter() string { return trs.exporter }
 
--- a/stand/field/field_test.go
+++ b/stand/field/field_test.go
@@ -99,7 +99,7 @@
 		"broke off":     {"LOST", func(_ *Field, sends map[string]*send) { sends["once"].err = errors.New("reset") }},
 		"held":          {"CONFIG", func(_ *Field, sends map[string]*send) { sends["once"].ended = sends["once"].begun.Add(5 * time.Second) }},
 		"never ended":   {"LOST", func(_ *Field, sends map[string]*send) { sends["once"].done = false }},
-		"caller had left": {"GONE", func(fld *Field, sends map[string]*send) {
+		"caller had left": {"GONE", func(_ *Field, sends map[string]*send) {
 			sends["bare"].left = sends["bare"].begun.Add(-2 * time.Second)
 		}},
 	} {
