--- a/stand/bench/markdown.go
+++ b/stand/bench/markdown.go
@@ -13,7 +13,7 @@
 	pag.line("# Measurements")
 	pag.line("")
 	pag.line("Made by `go run ./cmd/lovagestand bench -all -seed %d -seeds %d -json > bench.json` and then", rep.Seed, rep.Seeds)
-	pag.line("`go run ./cmd/lovagestand report -plots docs/plots bench.json > docs/measurements.md`.")
+	pag.line("`go run ./cmd/lovagestand report -plots docs/plots bench.json > docs/bench-measurements.md`.")
 	pag.line("The runs took %.0f s.", rep.TookMS/1000)
 	if note != "" {
 		pag.line("")
