Bound the pieces of a request

Cause: found in reading: a caller may name 16,777,216 pieces for a stage, and the forming instance made as many records, some gigabytes, before it looked at anything else; one such request would end the instance, and the next one. Change: more than 1,024 pieces in all is refused as malformed (kinds of request have up to sixty), and a job with so many isn't built whoever hands it over.

--- a/core/batch/job.go
+++ b/core/batch/job.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lovagestream/core/call"
 	"lovagestream/core/place"
 )
 
@@ -119,6 +120,9 @@
 		}
 		job.stages = append(job.stages, stg)
 	}
+	if !call.FewPieces(spc.Pieces) {
+		return nil, "too-many-pieces"
+	}
 	job.cut(spc.Pieces)
 	job.zone = eng.Zone(now, ask(&spc, nil))
 	return job, ""
--- a/core/batch/order.go
+++ b/core/batch/order.go
@@ -245,8 +245,8 @@
 }
 
 // comeBack is when a caller of a job's kind would be admitted again, from when
-// it would have its answer if it were admitted late. Callers refused in one moment are spread
-// over as long again, or they would come back in one moment.
+// it would have its answer if it were admitted late. Callers refused in one
+// moment are spread over as long again, or they would come back in one moment.
 func comeBack(now time.Time, job *job, late time.Duration) time.Duration {
 	aim := job.spec.Aim.Sub(job.spec.Arrived)
 	wait := max(soonest, late-aim)
--- a/core/batch/pool.go
+++ b/core/batch/pool.go
@@ -163,9 +163,8 @@
 //
 // Load pattern: calls of a few pieces in the calm, full ones in the burst that
 // follows. Learnt from small calls, pieces seemed to take three times as long,
-// and full calls, then far too quick, taught nothing: in bursts servers idled 50
-// ms between calls (3.1 calls a second each where 3.6 are possible), and most
-// jobs in time were taken for late and refused.
+// and full calls, then far too quick, taught nothing: in bursts queues seemed
+// twice as long as they were, and most jobs in time were taken for late.
 func (pol *pool) learn(now time.Time, fli *flight) {
 	took := now.Sub(fli.turn)
 	ratio := float64(took) / float64(fli.usual)
--- a/core/call/call.go
+++ b/core/call/call.go
@@ -118,3 +118,20 @@
 	Waiting int
 	Slots   int
 }
+
+// mostPieces bounds the pieces of one request, over all of its stages; published
+// kinds of request have up to sixty.
+const mostPieces = 1024
+
+// FewPieces reports whether a request's pieces are none below zero and not so
+// many that its job would fill the memory of who forms the calls.
+func FewPieces(counts []int) bool {
+	all := 0
+	for _, num := range counts {
+		if num < 0 || num > mostPieces {
+			return false
+		}
+		all += num
+	}
+	return all <= mostPieces
+}
