--- a/stand/field/fault.go
+++ b/stand/field/fault.go
@@ -8,9 +8,7 @@
 )
 
 // span is when something was disturbed; an open one has no end yet. Checks
-
 // with a bound in time hold only where nothing was disturbed.
-
 type span struct {
 	from, to time.Time
 	// planned marks a planned stop or a server that leaves, which excuse little.
@@ -21,7 +19,6 @@
 }
 
 // fault is one kind of trouble; it mends itself before it returns.
-
 type fault struct {
 	name    string
 	planned bool
@@ -29,7 +26,6 @@
 }
 
 // faults are drawn with equal chance.
-
 var faults = []fault{
 	{"instance-killed", false, (*breaker).killInstance},
 	{"instance-stopped", true, (*breaker).stopInstance},
@@ -53,16 +49,13 @@
 }
 
 // breaker makes one fault with luck of its own.
-
 type breaker struct {
 	fld *Field
 	rng *rand.Rand
 }
 
 // breakThings starts faults until the context ends, some while others stand,
-
 // and waits for the last.
-
 func (fld *Field) breakThings(ctx context.Context) error {
 	rng := rand.New(rand.NewPCG(fld.opt.Seed, 1))
 	under := newGate()
@@ -87,9 +80,7 @@
 }
 
 // phase is how long all faults come before a time of planned ones alone, in
-
 // which promises with a bound in time can be checked, and the other way round.
-
 const phase = 12 * time.Second
 
 func draw(rng *rand.Rand, planned bool) fault {
@@ -102,7 +93,6 @@
 }
 
 // open notes that a disturbance begins; the function returned ends it.
-
 func (fld *Field) open(name string, planned bool, ins *instance) func() {
 	fld.mu.Lock()
 	defer fld.mu.Unlock()
@@ -117,65 +107,16 @@
 }
 
 // length draws how long a fault stands.
-
 func (brk *breaker) length() time.Duration {
 	return time.Second + time.Duration(brk.rng.Int64N(int64(3*time.Second)))
 }
 
-// take draws an instance that no fault holds, or nil.
-
-// kept moves the lines of an ended process to its instance.
-
-// onInstance runs a fault on one instance.
-
-// stopInstance stops an instance as planned. It must end by itself, in time.
-
-// killAll kills all instances that no other fault holds at the same moment.
-
-// takeServer draws a server that no fault holds, of a pool with another one.
-
-// onServer runs a fault on one server.
-
-// gone marks when the store took a server's leaving or removal.
-
-// remove takes a server's entry away.
-
-// crashServer ends a server; the store learns of it late.
-
-// rebearServer lets a server start again under its ID, knowing nothing.
-
-// leaveServer lets a server leave as planned: it says so, works on for a
-
-// while, and goes.
-
-// odd ways to answer.
-
-// replaceAddress lets another service's server have the address of one that is
-
-// gone, before the store says so.
-
-// harms are what a proxy does to a link.
-
-// harm breaks links for a while, for all or for one zone's instances.
-
-// source is the beginning of the addresses of a zone's instances.
-
-// cutZone cuts one zone's instances off from the other zones' instances and
-
-// from the store. Faults on single links of the time end with it.
-
-// lapseEntries lets the entries of live servers lapse in an outage; they come
-
-// back soon after it.
-
 // gate counts faults under way.
-
 type gate struct {
 	tokens chan struct{}
 }
 
 // mostAtOnce is how many faults may stand at the same time.
-
 const mostAtOnce = 4
 
 func newGate() *gate { return &gate{tokens: make(chan struct{}, mostAtOnce)} }
--- a/stand/field/instances.go
+++ b/stand/field/instances.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 )
 
+// take draws an instance that no fault holds, or nil.
 func (brk *breaker) take() *instance {
 	brk.fld.mu.Lock()
 	defer brk.fld.mu.Unlock()
@@ -30,12 +31,14 @@
 	ins.busy = false
 }
 
+// kept moves the lines of an ended process to its instance.
 func (fld *Field) kept(ins *instance) {
 	fld.mu.Lock()
 	defer fld.mu.Unlock()
 	ins.logs += ins.prc.Log()
 }
 
+// onInstance runs a fault on one instance.
 func (brk *breaker) onInstance(name string, planned bool, run func(ins *instance) error) error {
 	ins := brk.take()
 	if ins == nil {
@@ -59,6 +62,7 @@
 	})
 }
 
+// stopInstance stops an instance as planned. It must end by itself, in time.
 func (brk *breaker) stopInstance(ctx context.Context) error {
 	return brk.onInstance("instance-stopped", true, func(ins *instance) error {
 		begun := time.Now()
@@ -93,6 +97,7 @@
 	})
 }
 
+// killAll kills all instances that no other fault holds at the same moment.
 func (brk *breaker) killAll(ctx context.Context) error {
 	var held []*instance
 	for ins := brk.take(); ins != nil; ins = brk.take() {
--- a/stand/field/network.go
+++ b/stand/field/network.go
@@ -8,11 +8,13 @@
 	"lovagestream/stand/proxy"
 )
 
+// harms are what a proxy does to a link.
 var harms = []proxy.Rule{
 	{Mode: proxy.Cut}, {Mode: proxy.Silence}, {Mode: proxy.Hole}, {Mode: proxy.OneWay}, {Mode: proxy.Delay, Wait: 60}, {Mode: proxy.Throttle, Wait: 30},
 	{Mode: proxy.Cut, After: 300},
 }
 
+// harm breaks links for a while, for all or for one zone's instances.
 func (brk *breaker) harm(ctx context.Context, name string, links ...*proxy.Link) error {
 	rul := harms[brk.rng.IntN(len(harms))]
 	if brk.rng.IntN(2) == 0 {
@@ -30,6 +32,7 @@
 	return nil
 }
 
+// source is the beginning of the addresses of a zone's instances.
 func (fld *Field) source(zone int) string {
 	return fmt.Sprintf("127.%d.%d.", 100+fld.opt.Seed%100, zone+1)
 }
@@ -53,6 +56,8 @@
 	return brk.harm(ctx, "store-link", brk.fld.storeLink)
 }
 
+// cutZone cuts one zone's instances off from the other zones' instances and
+// from the store. Faults on single links of the time end with it.
 func (brk *breaker) cutZone(ctx context.Context) error {
 	zone := brk.rng.IntN(len(zones))
 	links := []*proxy.Link{brk.fld.storeLink}
@@ -91,6 +96,8 @@
 	return nil
 }
 
+// lapseEntries lets the entries of live servers lapse in an outage; they come
+// back soon after it.
 func (brk *breaker) lapseEntries(ctx context.Context) error {
 	end := brk.fld.open("entries-lapsed", false, nil)
 	defer end()
--- a/stand/field/servers.go
+++ b/stand/field/servers.go
@@ -6,6 +6,7 @@
 	"time"
 )
 
+// takeServer draws a server that no fault holds, of a pool with another one.
 func (brk *breaker) takeServer() *server {
 	fld := brk.fld
 	fld.mu.Lock()
@@ -29,6 +30,7 @@
 	return nil
 }
 
+// onServer runs a fault on one server.
 func (brk *breaker) onServer(name string, planned bool, run func(ser *server) error) error {
 	ser := brk.takeServer()
 	if ser == nil {
@@ -43,6 +45,7 @@
 	return err
 }
 
+// gone marks when the store took a server's leaving or removal.
 func (fld *Field) gone(ser *server) {
 	fld.mu.Lock()
 	defer fld.mu.Unlock()
@@ -51,11 +54,13 @@
 	}
 }
 
+// remove takes a server's entry away.
 func (fld *Field) remove(ser *server) {
 	fld.sto.Delete("servers/" + ser.fake.ID)
 	fld.gone(ser)
 }
 
+// crashServer ends a server; the store learns of it late.
 func (brk *breaker) crashServer(ctx context.Context) error {
 	return brk.onServer("server-crashed", false, func(ser *server) error {
 		ser.fake.Close()
@@ -65,6 +70,7 @@
 	})
 }
 
+// rebearServer lets a server start again under its ID, knowing nothing.
 func (brk *breaker) rebearServer(ctx context.Context) error {
 	return brk.onServer("server-reborn", false, func(ser *server) error {
 		ser.fake.Forget()
@@ -75,6 +81,8 @@
 	})
 }
 
+// leaveServer lets a server leave as planned: it says so, works on for a
+// while, and goes.
 func (brk *breaker) leaveServer(ctx context.Context) error {
 	return brk.onServer("server-left", true, func(ser *server) error {
 		if err := brk.fld.addServer(ser.service, ser.kind, ser.zone); err != nil {
@@ -90,6 +98,7 @@
 	})
 }
 
+// odd ways to answer.
 var odd = []string{"shed", "error", "busy", "cut", "garble", "foreign", "short", "hang", "slow", "break"}
 
 func (brk *breaker) oddServer(ctx context.Context) error {
@@ -102,6 +111,8 @@
 	})
 }
 
+// replaceAddress lets another service's server have the address of one that is
+// gone, before the store says so.
 func (brk *breaker) replaceAddress(ctx context.Context) error {
 	return brk.onServer("server-replaced", false, func(ser *server) error {
 		oth := brk.takeServer()
