End a planned stop well beside unused connections

A caller's client had opened a connection ahead of need; the HTTP server counts one that carried nothing yet as busy for five seconds and waited past the time for stopping. Ruled out: requests under way (active 0 in the line), peers' links and the store. Change: after a drained stop that wait is no error; a line says it. Red first: script lost-nothing-on-an-unused-connection (context deadline exceeded).

--- a/io/edge/node.go
+++ b/io/edge/node.go
@@ -7,6 +7,7 @@
 	"net/url"
 	"os"
 	"os/signal"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -84,6 +85,8 @@
 	gau *gauge.Gauges
 	grp *group.Group
 	app *kratos.App
+	// drained is set once a planned stop has nothing under way.
+	drained atomic.Bool
 	// calling is the callers' HTTP server.
 	calling *khttp.Server
 
@@ -196,7 +199,7 @@
 		nod.prt.Clock.Every(ctx, sweepEvery, func(time.Time) { nod.poo.Sweep() })
 		return nil
 	})
-	err := nod.app.Run()
+	err := nod.served(nod.app.Run())
 	nod.grp.Stop()
 	nod.prt.Lines.Note("stop", lines.Fields{"name": nod.set.Name})
 	stop()
@@ -204,6 +207,17 @@
 	return errors.Wrap(nod.endTraces(err), "run")
 }
 
+// served takes the end of the listeners. A planned stop that has drained ends
+// well, also where connections are left that carried no request: callers open
+// some ahead of need, and the HTTP server waits for them as for busy ones.
+func (nod *Node) served(err error) error {
+	if errors.Is(err, context.DeadlineExceeded) && nod.drained.Load() && nod.srv.Active() == 0 {
+		nod.prt.Lines.Note("connections-left", lines.Fields{"name": nod.set.Name})
+		return nil
+	}
+	return err
+}
+
 // traceEnd bounds the sending of the last spans.
 const traceEnd = time.Second
 
@@ -259,6 +273,7 @@
 			nod.calling.SetKeepAlivesEnabled(false)
 		}
 		if past > grace-graceMargin || closing && now.Sub(busy) > quietFor && past > outOfRotation+quietFor {
+			nod.drained.Store(true)
 			nod.prt.Lines.Note("drained", lines.Fields{"took": past.Milliseconds(), "active": nod.srv.Active()})
 			return nil
 		}
