Say when a connection ends here under a request

Sight for the incident: a connection that the instance closes under a request looked like a caller that left (caller-left), so lines couldn't tell the stop's own closing from callers'. The listener now notes it (closed-under-request). No change of behaviour.

--- a/io/edge/callers.go
+++ b/io/edge/callers.go
@@ -8,6 +8,7 @@
 
 	"lovagestream/core/table"
 	"lovagestream/io/clock"
+	"lovagestream/io/lines"
 )
 
 // callers is the listener for callers. Its connections keep to the published
@@ -17,6 +18,7 @@
 type callers struct {
 	net.Listener
 	clk    clock.Service
+	jou    *lines.Writer
 	limits func() table.Limits
 }
 
@@ -35,6 +37,32 @@
 	lis *callers
 	// idle is set between requests.
 	idle atomic.Bool
+	// read is set once bytes of a request were read that the HTTP server doesn't
+	// know of yet.
+	read atomic.Bool
+	// failed is set once a read ended with an error.
+	failed atomic.Bool
+}
+
+// Read notes that a request has begun.
+func (con *callerConn) Read(buf []byte) (int, error) {
+	num, err := con.Conn.Read(buf)
+	if num > 0 {
+		con.read.Store(true)
+	}
+	if err != nil {
+		con.failed.Store(true)
+	}
+	return num, err
+}
+
+// Close tells when a connection ends here under a request: its caller would
+// look like one that left.
+func (con *callerConn) Close() error {
+	if con.read.Load() && !con.failed.Load() {
+		con.lis.jou.Note("closed-under-request", lines.Fields{"caller": con.RemoteAddr().String()})
+	}
+	return con.Conn.Close()
 }
 
 // SetReadDeadline bounds the wait for a request by the published idle limit,
@@ -57,9 +85,19 @@
 	return con.Conn.SetReadDeadline(at)
 }
 
-// noteIdle is the HTTP server's word that a connection waits for a request.
-func noteIdle(raw net.Conn, state http.ConnState) {
-	if con, ok := raw.(*callerConn); ok && state == http.StateIdle {
+// noteState is the HTTP server's word on a connection: that it waits for a
+// request, or has one.
+func noteState(raw net.Conn, state http.ConnState) {
+	con, ok := raw.(*callerConn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateIdle:
 		con.idle.Store(true)
+		con.read.Store(false)
+		con.failed.Store(false)
+	case http.StateActive:
+		con.read.Store(false)
 	}
 }
--- a/io/edge/node.go
+++ b/io/edge/node.go
@@ -137,13 +137,13 @@
 // build makes the listeners' servers. Paths go out as they came, so the
 // callers' server has no router that would clean or redirect them.
 func (nod *Node) build() {
-	lis := &callers{Listener: nod.callers, clk: nod.prt.Clock, limits: nod.limits}
+	lis := &callers{Listener: nod.callers, clk: nod.prt.Clock, jou: nod.prt.Lines, limits: nod.limits}
 	callers := khttp.NewServer(khttp.Listener(lis), khttp.Timeout(0), endpoint(nod.set.Callers))
 	nod.calling = callers
 	callers.Handler = nod.srv
 	callers.IdleTimeout = idleTime
 	callers.ReadHeaderTimeout = headTime
-	callers.ConnState = noteIdle
+	callers.ConnState = noteState
 	callers.MaxHeaderBytes = maxHeadBytes
 	ready := khttp.NewServer(khttp.Listener(nod.ready), khttp.Timeout(0), endpoint(nod.set.Ready))
 	ready.Handler = http.HandlerFunc(nod.readiness)
