Let a caller's connection either carry a request or end, never both

Cause: a planned stop closed callers' idle connections through the HTTP server, which counts a connection as idle until its goroutine has read a request's head and said so. A request read a moment before was run and had no connection left for its answer; at the end of the listeners it was dropped without a word. On machines with a fifth of a core that moment lasts tens of milliseconds. Change: io/accept keeps callers' connections. The first bytes of a request are taken from the socket under the lock under which a connection is ended, and one whose socket holds bytes isn't ended; nor one that has waited for less than 50 ms, whose caller may be going on. A planned stop ends the listeners only when no connection carries a request. A request that stands in the socket when the idle limit runs out is read. After the wait the limit for a head holds, not the idle one.

--- /dev/null
+++ b/io/accept/accept.go
@@ -0,0 +1,201 @@
+// Package accept keeps the connections that callers opened, and settles for
+// each what comes next on it: a request, or its end.
+//
+// net/http ends the connections that it counts as idle when keep-alives are
+// switched off and when a server shuts down. It counts one as idle until the
+// connection's goroutine has read a request's head and said so. A request that
+// was read a moment before is run, and its answer has no connection left; at
+// the end of a server it is dropped without a word. On a machine whose
+// processor is taken that moment lasts tens of milliseconds.
+//
+// Here the two exclude each other: the first bytes of a request are taken from
+// the socket under the same lock under which a connection is ended, and one
+// that has bytes standing in its socket is not ended. A request that is still
+// on its way when its connection ends is never read, so its caller may send it
+// again.
+package accept
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lovagestream/io/clock"
+)
+
+// settleTime is how long a connection must have waited for a request before it
+// is ended: ten round trips of a caller. One that goes on at once would have its
+// next request cross the end; so it gets an answer that says that the connection
+// closes.
+const settleTime = 50 * time.Millisecond
+
+// drainLook is how often Drain looks for connections that have become idle:
+// often enough that an answer's end costs a planned stop next to nothing.
+const drainLook = 10 * time.Millisecond
+
+// Limits bound a caller's connection; 0 is no bound.
+type Limits struct {
+	// Head is how long the sending of a request's head may take.
+	Head time.Duration
+	// Idle is how long a connection may stand open between requests.
+	Idle time.Duration
+}
+
+// Listener hands out callers' connections and remembers them.
+type Listener struct {
+	net.Listener
+	clk clock.Service
+	// limits are those in force at the moment: the HTTP server's own are fixed
+	// when it starts, and published ones change.
+	limits func() Limits
+	// lost is told of a connection that was closed here under a request that the
+	// HTTP server didn't know of yet: its caller looks like one that left.
+	lost func(caller net.Addr)
+	// settle is settleTime, but for tests.
+	settle time.Duration
+
+	mu sync.Mutex
+	// open are connections that were accepted and not closed yet.
+	open map[*Conn]struct{}
+	// sealed is set when none is accepted any more; open doesn't grow then.
+	sealed bool
+}
+
+// New wraps a listener whose connections are TCP's.
+func New(lis net.Listener, clk clock.Service, limits func() Limits, lost func(caller net.Addr)) *Listener {
+	return &Listener{Listener: lis, clk: clk, limits: limits, lost: lost, settle: settleTime, open: map[*Conn]struct{}{}}
+}
+
+// SocketError is a connection whose socket can't be looked at.
+type SocketError struct {
+	Cause error
+}
+
+// Error names the cause.
+func (err *SocketError) Error() string { return "a caller's socket: " + err.Cause.Error() }
+
+// Unwrap returns the cause.
+func (err *SocketError) Unwrap() error { return err.Cause }
+
+// Accept waits for the next connection. Those that come after Drain are closed
+// unread.
+func (lis *Listener) Accept() (net.Conn, error) {
+	for {
+		raw, err := lis.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		con, err := lis.wrap(raw)
+		if err != nil {
+			_ = raw.Close()
+			return nil, err
+		}
+		if lis.admit(con) {
+			return con, nil
+		}
+		_ = raw.Close()
+	}
+}
+
+func (lis *Listener) wrap(raw net.Conn) (*Conn, error) {
+	sys, ok := raw.(syscall.Conn)
+	if !ok {
+		return nil, &SocketError{Cause: errors.New("not a socket")}
+	}
+	soc, err := sys.SyscallConn()
+	if err != nil {
+		return nil, &SocketError{Cause: err}
+	}
+	return &Conn{Conn: raw, lis: lis, soc: soc, since: lis.clk.Now()}, nil
+}
+
+func (lis *Listener) admit(con *Conn) bool {
+	lis.mu.Lock()
+	defer lis.mu.Unlock()
+	if lis.sealed {
+		return false
+	}
+	lis.open[con] = struct{}{}
+	return true
+}
+
+func (lis *Listener) forget(con *Conn) {
+	lis.mu.Lock()
+	defer lis.mu.Unlock()
+	delete(lis.open, con)
+}
+
+// list returns the open connections.
+func (lis *Listener) list() []*Conn {
+	lis.mu.Lock()
+	defer lis.mu.Unlock()
+	out := make([]*Conn, 0, len(lis.open))
+	for con := range lis.open {
+		out = append(out, con)
+	}
+	return out
+}
+
+// Open counts the connections.
+func (lis *Listener) Open() int {
+	lis.mu.Lock()
+	defer lis.mu.Unlock()
+	return len(lis.open)
+}
+
+// Note is the HTTP server's word on a connection; it belongs in the server's
+// ConnState.
+func (lis *Listener) Note(raw net.Conn, state http.ConnState) {
+	con, ok := raw.(*Conn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateIdle:
+		con.answered()
+	case http.StateActive:
+		con.announced()
+	}
+}
+
+// EndIdle ends the connections that carried a request before and have waited a
+// moment for the next one. It returns how many. Those that carried none are left: their
+// callers have just opened them and are about to send.
+func (lis *Listener) EndIdle() int { return lis.end(false) }
+
+func (lis *Listener) end(unused bool) int {
+	num := 0
+	for _, con := range lis.list() {
+		if con.end(unused) {
+			num++
+		}
+	}
+	return num
+}
+
+// Drain ends all connections, each once nothing is under way on it, until none
+// is left or the context ends; afterwards none is accepted. It returns how many
+// are left, with a request each. The answers meanwhile should say that their
+// connection closes.
+func (lis *Listener) Drain(ctx context.Context) int {
+	for {
+		lis.end(true)
+		if left := lis.seal(ctx.Err() != nil); left == 0 || ctx.Err() != nil {
+			return left
+		}
+		_ = lis.clk.Sleep(ctx, drainLook)
+	}
+}
+
+// seal ends the accepting if no connection is open, or in any case if it must.
+func (lis *Listener) seal(must bool) int {
+	lis.mu.Lock()
+	defer lis.mu.Unlock()
+	lis.sealed = lis.sealed || must || len(lis.open) == 0
+	return len(lis.open)
+}
--- a/io/edge/node.go
+++ b/io/edge/node.go
@@ -16,7 +16,7 @@
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/pkg/errors"
 
-	"lovagestream/core/table"
+	"lovagestream/io/accept"
 	"lovagestream/io/clock"
 	"lovagestream/io/conns"
 	"lovagestream/io/entry"
@@ -87,8 +87,8 @@
 	app *kratos.App
 	// drained is set once a planned stop has nothing under way.
 	drained atomic.Bool
-	// calling is the callers' HTTP server.
-	calling *khttp.Server
+	// kept are callers' connections.
+	kept *accept.Listener
 
 	callers net.Listener
 	ready   net.Listener
@@ -137,13 +137,12 @@
 // build makes the listeners' servers. Paths go out as they came, so the
 // callers' server has no router that would clean or redirect them.
 func (nod *Node) build() {
-	lis := &callers{Listener: nod.callers, clk: nod.prt.Clock, jou: nod.prt.Lines, limits: nod.limits}
-	callers := khttp.NewServer(khttp.Listener(lis), khttp.Timeout(0), endpoint(nod.set.Callers))
-	nod.calling = callers
+	nod.kept = accept.New(nod.callers, nod.prt.Clock, nod.limits, nod.cut)
+	callers := khttp.NewServer(khttp.Listener(nod.kept), khttp.Timeout(0), endpoint(nod.set.Callers))
 	callers.Handler = nod.srv
 	callers.IdleTimeout = idleTime
 	callers.ReadHeaderTimeout = headTime
-	callers.ConnState = noteState
+	callers.ConnState = nod.kept.Note
 	callers.MaxHeaderBytes = maxHeadBytes
 	ready := khttp.NewServer(khttp.Listener(nod.ready), khttp.Timeout(0), endpoint(nod.set.Ready))
 	ready.Handler = http.HandlerFunc(nod.readiness)
@@ -163,11 +162,16 @@
 }
 
 // limits are those in force now.
-func (nod *Node) limits() table.Limits {
+func (nod *Node) limits() accept.Limits {
 	if tab := nod.ctl.View().Table; tab != nil {
-		return tab.Limits()
+		return accept.Limits{Head: tab.Limits().Head, Idle: tab.Limits().Idle}
 	}
-	return table.Limits{}
+	return accept.Limits{}
+}
+
+// cut notes a connection that ended here under a request.
+func (nod *Node) cut(caller net.Addr) {
+	nod.prt.Lines.Note("closed-under-request", lines.Fields{"caller": caller.String()})
 }
 
 // endpoint names a listener's address, which kratos would else look for among
@@ -257,11 +261,10 @@
 	if grace == 0 {
 		grace = defaultGrace
 	}
-	ctx := context.Background()
 	closing := false
 	busy := begun
 	for {
-		_ = nod.prt.Clock.Sleep(ctx, drainPoll)
+		_ = nod.prt.Clock.Sleep(context.Background(), drainPoll)
 		now := nod.prt.Clock.Now()
 		past := now.Sub(begun)
 		if nod.srv.Active() > 0 {
@@ -270,18 +273,36 @@
 		if !closing && past > outOfRotation {
 			closing = true
 			nod.ctl.post(evStop{closing: true, end: begun.Add(grace - graceMargin)})
+			nod.prt.Lines.Note("closing", lines.Fields{"connections": nod.kept.Open(), "active": nod.srv.Active()})
+		}
+		if closing {
 			// Callers that hold an idle connection learn now that it ends, rather
-			// than by a request that crosses the end of the process.
-			nod.calling.SetKeepAlivesEnabled(false)
+			// than by a request that crosses the end of the process. Later ones had
+			// their answer begun before it could say that the connection closes.
+			nod.kept.EndIdle()
 		}
 		if past > grace-graceMargin || closing && now.Sub(busy) > quietFor && past > outOfRotation+quietFor {
+			nod.endCallers(grace - graceMargin - past)
 			nod.drained.Store(true)
-			nod.prt.Lines.Note("drained", lines.Fields{"took": past.Milliseconds(), "active": nod.srv.Active()})
+			nod.prt.Lines.Note("drained", lines.Fields{"took": nod.prt.Clock.Now().Sub(begun).Milliseconds(), "active": nod.srv.Active()})
 			return nil
 		}
 	}
 }
 
+// endCallers ends all callers' connections, each when nothing is under way on
+// it, in what is left of the grace time. The HTTP server drops without a word
+// what it has read and not begun when it ends, so it must find none.
+func (nod *Node) endCallers(left time.Duration) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	dog := nod.prt.Clock.Watch(max(0, left), cancel)
+	defer dog.Stop()
+	if num := nod.kept.Drain(ctx); num > 0 {
+		nod.prt.Lines.Note("callers-cut", lines.Fields{"connections": num, "active": nod.srv.Active()})
+	}
+}
+
 // settingsPoll is how often the settings are read without a signal: they may
 // change with none.
 const settingsPoll = 5 * time.Second
--- a/io/edge/stop_test.go
+++ b/io/edge/stop_test.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -24,6 +23,7 @@
 	"lovagestream/io/gauge"
 	"lovagestream/io/group"
 	"lovagestream/io/lines"
+	"lovagestream/stand/stall"
 )
 
 // bareDialect passes requests on with their ID.
@@ -43,70 +43,10 @@
 
 func (bareDialect) Passed(http.Header) []call.Field { return nil }
 
-// slowSocket is a caller's connection whose goroutine doesn't get on once it
-// has read a request, as on a machine whose processor is taken.
-type slowSocket struct {
-	*net.TCPConn
-	lis *slowListener
-	// idle is set while the HTTP server waits for the next request.
-	idle atomic.Bool
-	held atomic.Bool
-	shut sync.Once
-}
-
-// SetReadDeadline with no time is what the HTTP server does right after it has
-// read a request's head.
-func (soc *slowSocket) SetReadDeadline(at time.Time) error {
-	soc.idle.Store(at.After(time.Now()))
-	if at.IsZero() && soc.lis.armed.CompareAndSwap(true, false) {
-		soc.held.Store(true)
-		<-soc.lis.release
-	}
-	return soc.TCPConn.SetReadDeadline(at)
-}
-
-// Close of a connection with a held request comes late, too: who closes has
-// looked at the connection by now, and the request goes on meanwhile.
-func (soc *slowSocket) Close() error {
-	if soc.held.Load() {
-		soc.shut.Do(func() {
-			close(soc.lis.closed)
-			select {
-			case <-soc.lis.passed:
-			case <-time.After(time.Second):
-			}
-		})
-	}
-	return soc.TCPConn.Close()
-}
-
-// slowListener hands out slow sockets.
-type slowListener struct {
-	net.Listener
-	// armed holds the next request that is read until release is closed.
-	armed   atomic.Bool
-	release chan struct{}
-	// closed is closed when the held request's connection is to be closed, which
-	// waits until passed is closed.
-	closed chan struct{}
-	passed chan struct{}
-	last   atomic.Pointer[slowSocket]
-}
-
-func (lis *slowListener) Accept() (net.Conn, error) {
-	con, err := lis.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	soc := &slowSocket{TCPConn: con.(*net.TCPConn), lis: lis}
-	lis.last.Store(soc)
-	return soc, nil
-}
-
 // stopping is an instance with one backend server, on its way to a planned stop.
 type stopping struct {
 	nod *Node
-	lis *slowListener
+	lis *stall.Listener
 	// runs counts requests that the backend server ran.
 	runs atomic.Int64
 	done chan error
@@ -123,7 +63,7 @@
 	back := httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
 		sto.runs.Add(1)
 		if req.Header.Get("Id") == "held" {
-			close(sto.lis.passed)
+			sto.lis.Pass()
 			time.Sleep(workTime)
 		}
 		wri.Header().Set("Id", req.Header.Get("Id"))
@@ -140,7 +80,7 @@
 	require.NoError(t, err)
 	ready, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	sto.lis = &slowListener{Listener: callers, release: make(chan struct{}), closed: make(chan struct{}), passed: make(chan struct{})}
+	sto.lis = stall.New(callers)
 	out := &bytes.Buffer{}
 	jou := lines.New(out, clock.System{})
 	gau := gauge.New()
@@ -194,10 +134,10 @@
 	t.Helper()
 	require.Eventually(t, reached, 5*time.Second, 5*time.Millisecond)
 	select {
-	case <-sto.lis.closed:
+	case <-sto.lis.Closing():
 	case <-time.After(4 * drainPoll):
 	}
-	close(sto.lis.release)
+	sto.lis.Release()
 }
 
 // TestStopAnswersARequestThatWasJustRead:
@@ -221,10 +161,10 @@
 	rdr := bufio.NewReader(con)
 	request(t, con, "r1")
 	require.Equal(t, http.StatusOK, answered(con, rdr))
-	require.Eventually(t, func() bool { return sto.lis.last.Load().idle.Load() }, time.Second, time.Millisecond)
+	require.Eventually(t, sto.lis.Waiting, time.Second, time.Millisecond)
 
 	sto.grp.Go(func(context.Context) error { return sto.nod.Stop() })
-	sto.lis.armed.Store(true)
+	sto.lis.HoldHead()
 	request(t, con, "held")
 	sto.letGo(t, func() bool { return !sto.nod.ctl.View().Closing.IsZero() })
 
@@ -243,12 +183,12 @@
 	sto := newStopping(t)
 	sto.grp.Go(func(context.Context) error { return sto.nod.Stop() })
 	require.Eventually(t, func() bool { return !sto.nod.ctl.View().Closing.IsZero() }, 5*time.Second, 5*time.Millisecond)
-	sto.lis.armed.Store(true)
+	sto.lis.HoldHead()
 	con, err := net.Dial("tcp", sto.lis.Addr().String())
 	require.NoError(t, err)
 	defer func() { _ = con.Close() }()
 	request(t, con, "held")
-	require.Eventually(t, func() bool { return sto.lis.last.Load() != nil && sto.lis.last.Load().held.Load() }, time.Second, time.Millisecond)
+	<-sto.lis.Held()
 	begun := time.Now()
 	sto.letGo(t, func() bool { return time.Since(begun) > 3*quietFor })
 
