End the own path's listeners only when no connection carries a request

Cause, as on the platform's path: the HTTP server drops what it has read and not yet begun when it ends. The own path's callers now come through io/accept too: after the requests in progress have ended, every connection ends when nothing is under way on it; who comes meanwhile gets the refusal.

--- a/io/serve/serve.go
+++ b/io/serve/serve.go
@@ -19,6 +19,7 @@
 	"lovagestream/core"
 	"lovagestream/core/keys"
 	"lovagestream/core/limit"
+	"lovagestream/io/accept"
 	"lovagestream/io/admin"
 	"lovagestream/io/claim"
 	"lovagestream/io/clock"
@@ -46,18 +47,20 @@
 
 // Node is one entry instance.
 type Node struct {
-	set       *setup.Settings
-	pols      runner.Policies
-	log       *logs.Logger
-	clk       clock.Service
-	lop       *loop.Loop
-	cli       *stage.Client
-	rnr       *runner.Runner
-	frt       *front.Server
-	mtr       *meter.Meter
-	trc       *trace.Tracer
-	rdr       *watch.Reader
-	callers   net.Listener
+	set     *setup.Settings
+	pols    runner.Policies
+	log     *logs.Logger
+	clk     clock.Service
+	lop     *loop.Loop
+	cli     *stage.Client
+	rnr     *runner.Runner
+	frt     *front.Server
+	mtr     *meter.Meter
+	trc     *trace.Tracer
+	rdr     *watch.Reader
+	callers net.Listener
+	// kept are callers' connections.
+	kept      *accept.Listener
 	operators net.Listener
 	peers     net.Listener
 	hub       *peer.Hub
@@ -161,8 +164,10 @@
 }
 
 func (nod *Node) build() {
-	callers := khttp.NewServer(khttp.Listener(nod.callers), khttp.Timeout(0))
+	nod.kept = accept.New(nod.callers, nod.clk, nod.limits, nod.cut)
+	callers := khttp.NewServer(khttp.Listener(nod.kept), khttp.Timeout(0))
 	limitCallers(callers.Server, nod.set.Bounds())
+	callers.ConnState = nod.kept.Note
 	callers.HandlePrefix("/", nod.frt.Handler())
 	operators := khttp.NewServer(nod.operatorOptions()...)
 	operators.HandleFunc("/healthz", func(wri http.ResponseWriter, _ *http.Request) { wri.WriteHeader(http.StatusOK) })
@@ -245,9 +250,25 @@
 	if err != nil {
 		nod.log.Warn("Cut requests off at the end of the grace time.", logs.Fields{"error": err})
 	}
+	// The HTTP server drops without a word what it has read and not begun when it
+	// ends, so it must find no connection; who comes meanwhile is refused.
+	if left := nod.kept.Drain(dctx); left > 0 {
+		nod.log.Warn("Callers' connections are left at the end of the grace time.", logs.Fields{"connections": left})
+	}
 	return err
 }
 
+// limits are the bounds of callers' connections.
+func (nod *Node) limits() accept.Limits {
+	bnd := nod.set.Bounds()
+	return accept.Limits{Head: bnd.HeaderTime(), Idle: bnd.IdleTime()}
+}
+
+// cut notes a connection that ended here under a request.
+func (nod *Node) cut(caller net.Addr) {
+	nod.log.Warn("Closed a connection under a request.", logs.Fields{"caller": caller.String()})
+}
+
 func (nod *Node) serverLeaving(id string) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
