--- a/test/steps_test.go
+++ b/test/steps_test.go
@@ -37,7 +37,7 @@
 	"expect": {"ID OUTCOMES", stepExpect},
 	// ran checks how often a stage began for a subject, or for all with *.
 	"ran": {"STAGE SUBJECT COUNT", stepRan},
-	// begun waits until a stage has begun somewhere.
+	// begun waits until a stage has begun somewhere, count= times (once).
 	"begun": {"STAGE", stepBegun},
 	// mark remembers the length of a backend server's journal.
 	"mark": {"BACKEND...", func(scn *scene, args []string, _ options) error {
@@ -236,10 +236,17 @@
 	return err
 }
 
-func stepBegun(scn *scene, args []string, _ options) error {
+func stepBegun(scn *scene, args []string, opt options) error {
+	want := 1
+	if got := opt["count"]; got != "" {
+		var err error
+		if want, err = strconv.Atoi(got); err != nil {
+			return err
+		}
+	}
 	return world.Within(args[0]+" begun", func() (bool, string) {
 		num, err := scn.wor.Count(args[0], "*")
-		return err == nil && num > 0, fmt.Sprintf("%d runs, error %v", num, err)
+		return err == nil && num >= want, fmt.Sprintf("%d runs of %d, error %v", num, want, err)
 	})
 }
 
