--- a/io/accept/accept.go
+++ b/io/accept/accept.go
@@ -9,10 +9,10 @@
 // processor is taken that moment lasts tens of milliseconds.
 //
 // Here the two exclude each other: the first bytes of a request are taken from
-// the socket under the same lock under which a connection is ended, and one
-// that has bytes standing in its socket is not ended. A request that is still
-// on its way when its connection ends is never read, so its caller may send it
-// again.
+// the socket under the same lock under which a connection is ended, one that has
+// bytes standing in its socket is not ended, and no handler begins on one that
+// was. A request that is still on its way when its connection ends is never run,
+// so its caller may send it again.
 package accept
 
 import (
@@ -82,8 +82,9 @@
 // Unwrap returns the cause.
 func (err *SocketError) Unwrap() error { return err.Cause }
 
-// Accept waits for the next connection. Those that come after Drain are closed
-// unread.
+// Accept waits for the next connection. Those that come once Drain has begun are
+// closed unread: with a balancer that goes on sending callers, the moment in
+// which none is open may never come.
 func (lis *Listener) Accept() (net.Conn, error) {
 	for {
 		raw, err := lis.Listener.Accept()
@@ -148,18 +149,39 @@
 	return len(lis.open)
 }
 
-// Note is the HTTP server's word on a connection; it belongs in the server's
-// ConnState.
-func (lis *Listener) Note(raw net.Conn, state http.ConnState) {
-	con, ok := raw.(*Conn)
-	if !ok {
-		return
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// Attach makes an HTTP server tell of its connections, and lets its handler run
+// only on those that weren't ended. It must come before the server serves this
+// listener, and after its handler is set.
+func (lis *Listener) Attach(srv *http.Server) {
+	han := srv.Handler
+	srv.ConnState = note
+	srv.ConnContext = func(ctx context.Context, raw net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, own(raw))
+	}
+	srv.Handler = http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
+		if con, ok := req.Context().Value(connKey{}).(*Conn); ok && con != nil && !con.begin() {
+			panic(http.ErrAbortHandler)
+		}
+		han.ServeHTTP(wri, req)
+	})
+}
+
+// own finds the connection below what the HTTP server has, which may be TLS.
+func own(raw net.Conn) *Conn {
+	if sec, ok := raw.(interface{ NetConn() net.Conn }); ok {
+		raw = sec.NetConn()
 	}
-	switch state {
-	case http.StateIdle:
+	con, _ := raw.(*Conn)
+	return con
+}
+
+// note takes the HTTP server's word that a connection waits for a request.
+func note(raw net.Conn, state http.ConnState) {
+	if con := own(raw); con != nil && state == http.StateIdle {
 		con.answered()
-	case http.StateActive:
-		con.announced()
 	}
 }
 
@@ -178,24 +200,23 @@
 	return num
 }
 
-// Drain ends all connections, each once nothing is under way on it, until none
-// is left or the context ends; afterwards none is accepted. It returns how many
-// are left, with a request each. The answers meanwhile should say that their
-// connection closes.
+// Drain accepts no more connections and ends those that are open, each once
+// nothing is under way on it, until none is left or the context ends. It returns
+// how many are left, with a request each. The answers meanwhile should say that
+// their connection closes.
 func (lis *Listener) Drain(ctx context.Context) int {
+	lis.seal()
 	for {
 		lis.end(true)
-		if left := lis.seal(ctx.Err() != nil); left == 0 || ctx.Err() != nil {
+		if left := lis.Open(); left == 0 || ctx.Err() != nil {
 			return left
 		}
 		_ = lis.clk.Sleep(ctx, drainLook)
 	}
 }
 
-// seal ends the accepting if no connection is open, or in any case if it must.
-func (lis *Listener) seal(must bool) int {
+func (lis *Listener) seal() {
 	lis.mu.Lock()
 	defer lis.mu.Unlock()
-	lis.sealed = lis.sealed || must || len(lis.open) == 0
-	return len(lis.open)
+	lis.sealed = true
 }
--- a/io/accept/accept_test.go
+++ b/io/accept/accept_test.go
@@ -34,14 +34,18 @@
 	ran map[string]bool
 }
 
-func newHost(t *testing.T, lim accept.Limits) *host {
+func newHost(t *testing.T, lim accept.Limits, opts ...func(*http.Server)) *host {
 	t.Helper()
 	raw, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	hst := &host{grp: group.New(context.Background()), ran: map[string]bool{}}
 	hst.late = stall.New(raw)
 	hst.lis = accept.New(hst.late, clock.System{}, func() accept.Limits { return lim }, func(net.Addr) { hst.cuts.Add(1) })
-	hst.srv = &http.Server{Handler: http.HandlerFunc(hst.run), ReadHeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute, ConnState: hst.lis.Note}
+	hst.srv = &http.Server{Handler: http.HandlerFunc(hst.run), ReadHeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute}
+	for _, opt := range opts {
+		opt(hst.srv)
+	}
+	hst.lis.Attach(hst.srv)
 	hst.grp.Go(func(context.Context) error {
 		_ = hst.srv.Serve(hst.lis)
 		return nil
@@ -109,7 +113,7 @@
 	t.Parallel()
 	const callers, ends = 40, 300
 	hst := newHost(t, accept.Limits{})
-	hst.lis.EndAtOnce()
+	hst.lis.EndAfter(0)
 	ctx, stop := context.WithCancel(context.Background())
 	grp := group.New(ctx)
 	var answered atomic.Int64
@@ -196,8 +200,10 @@
 	})
 	require.Eventually(t, func() bool { return hst.didRun("busy") && hst.lis.Open() == 3 }, time.Second, time.Millisecond)
 
+	hst.lis.EndAfter(time.Hour)
 	require.Zero(t, hst.lis.EndIdle(), "its caller may be about to go on")
-	require.Eventually(t, func() bool { return hst.lis.EndIdle() == 1 }, time.Second, time.Millisecond)
+	hst.lis.EndAfter(0)
+	require.Equal(t, 1, hst.lis.EndIdle())
 	require.Equal(t, 2, hst.lis.Open(), "the unused one is left")
 	require.Zero(t, hst.lis.Drain(context.Background()))
 	require.True(t, <-got)
--- a/io/accept/conn.go
+++ b/io/accept/conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -16,13 +17,13 @@
 type phase int
 
 const (
-	// waiting: nothing of the next request has been taken from the socket, but
-	// for one byte that the HTTP server may have read ahead during the answer
-	// before; the rest of that request still stands in the socket then.
+	// waiting: no handler runs, and nothing of the next request has been taken
+	// from the socket but for what the HTTP server read ahead during the answer
+	// before.
 	waiting phase = iota
 	// taken: a request is being read, or its answer is due.
 	taken
-	// ended: the instance closed it; nothing is read any more.
+	// ended: the instance closed it; nothing is read, and no handler begins.
 	ended
 )
 
@@ -32,6 +33,9 @@
 	lis *Listener
 	soc syscall.RawConn
 
+	// wrote is set once something was written since the request was taken.
+	wrote atomic.Bool
+
 	// mu guards what follows. It is held while bytes are taken in the phase
 	// waiting, and never while the socket is closed: closing waits for reads.
 	mu    sync.Mutex
@@ -40,44 +44,75 @@
 	since time.Time
 	// used is set once a request was answered.
 	used bool
-	// known is set while the HTTP server knows of the request that was taken.
-	known bool
+	// begun is set while a handler runs, in the phase taken.
+	begun bool
 	// failed is set once a read ended with an error.
 	failed bool
+	// late is set once a limit was passed over for this request.
+	late bool
 }
 
 // Read takes the first bytes of a request only from a connection that wasn't
 // ended.
 func (con *Conn) Read(buf []byte) (int, error) {
-	if con.at() == taken {
-		num, err := con.Conn.Read(buf)
-		con.check(err)
-		return num, err
-	}
-	num, err := con.first(buf)
-	if errors.Is(err, os.ErrDeadlineExceeded) && con.stands() {
-		// The limit ran out while the request stood in the socket and nobody read
-		// it: a process that is short of processor would close the connection of a
-		// caller who was in time.
-		if err := con.SetReadDeadline(con.lis.clk.Now().Add(con.lis.limits().Head)); err != nil {
+	num, err := con.read(buf)
+	if errors.Is(err, os.ErrDeadlineExceeded) && con.overdue() {
+		// The limit ran out while the bytes stood in the socket and nobody read
+		// them: a process that is short of processor would close the connection of
+		// a caller who was in time. Once for a request, so that nobody who sends a
+		// byte now and then holds a connection for ever.
+		if err := con.limitHead(); err != nil {
 			return 0, err
 		}
-		num, err = con.first(buf)
+		num, err = con.read(buf)
+	}
+	if err != nil {
+		con.fail()
 	}
-	con.check(err)
 	return num, err
 }
 
+func (con *Conn) read(buf []byte) (int, error) {
+	if con.at() != waiting {
+		return con.Conn.Read(buf)
+	}
+	num, err := con.first(buf)
+	if num == 0 || err != nil {
+		return num, err
+	}
+	// The HTTP server waits for four bytes under the idle limit; a caller that
+	// sends fewer and stops is bounded by the limit for a head.
+	return num, con.limitHead()
+}
+
+// limitHead bounds the reading of a request's head from now on.
+func (con *Conn) limitHead() error {
+	most := con.lis.limits().Head
+	if most == 0 {
+		return con.Conn.SetReadDeadline(time.Time{})
+	}
+	return con.Conn.SetReadDeadline(con.lis.clk.Now().Add(most))
+}
+
+// overdue reports whether bytes of a request stand in the socket and no limit
+// was passed over for it yet.
+func (con *Conn) overdue() bool {
+	con.mu.Lock()
+	defer con.mu.Unlock()
+	if con.late || con.begun || !con.stands() {
+		return false
+	}
+	con.late = true
+	return true
+}
+
 func (con *Conn) at() phase {
 	con.mu.Lock()
 	defer con.mu.Unlock()
 	return con.phase
 }
 
-func (con *Conn) check(err error) {
-	if err == nil {
-		return
-	}
+func (con *Conn) fail() {
 	con.mu.Lock()
 	defer con.mu.Unlock()
 	con.failed = true
@@ -137,43 +172,67 @@
 
 // SetReadDeadline bounds the wait for a request by the idle limit in force, and
 // the reading of its head by the limit for that. The HTTP server sets a bound at
-// just these moments, and takes it away when it has the head.
+// just these moments, and takes it away when it has the head. A handler's own
+// bounds stay as they are.
 func (con *Conn) SetReadDeadline(at time.Time) error {
-	if at.IsZero() {
-		return con.Conn.SetReadDeadline(at)
-	}
-	lim := con.lis.limits()
-	most := lim.Head
-	if con.idle() {
-		most = lim.Idle
-	}
+	most := con.most()
 	if bound := con.lis.clk.Now().Add(most); most > 0 && at.After(bound) {
 		at = bound
 	}
 	return con.Conn.SetReadDeadline(at)
 }
 
-func (con *Conn) idle() bool {
+// most is the limit of the moment, or 0.
+func (con *Conn) most() time.Duration {
 	con.mu.Lock()
 	defer con.mu.Unlock()
-	return con.phase == waiting && con.used
+	switch {
+	case con.begun:
+		return 0
+	case con.phase == waiting && con.used:
+		return con.lis.limits().Idle
+	}
+	return con.lis.limits().Head
 }
 
-// announced notes that the HTTP server knows of the request.
-func (con *Conn) announced() {
+// Write passes an answer on.
+func (con *Conn) Write(buf []byte) (int, error) {
+	con.wrote.Store(true)
+	return con.Conn.Write(buf)
+}
+
+// CloseWrite ends the answers: the HTTP server does so after one to a request
+// that it didn't read whole, and waits a while if it can't.
+func (con *Conn) CloseWrite() error {
+	soc, ok := con.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return &SocketError{Cause: errors.New("can't be closed for writing alone")}
+	}
+	return soc.CloseWrite()
+}
+
+// begin notes that a handler runs, and reports whether it may. The HTTP server
+// may have taken a request with the one before, without another read.
+func (con *Conn) begin() bool {
 	con.mu.Lock()
 	defer con.mu.Unlock()
-	con.known = true
+	if con.phase == ended {
+		return false
+	}
+	con.phase, con.begun = taken, true
+	return true
 }
 
 // answered notes that a request is over and the next one may come.
 func (con *Conn) answered() {
 	con.mu.Lock()
 	defer con.mu.Unlock()
-	if con.phase == taken {
-		con.phase, con.used, con.known, con.failed = waiting, true, false, false
-		con.since = con.lis.clk.Now()
+	if con.phase != taken {
+		return
 	}
+	con.phase, con.used, con.begun, con.failed, con.late = waiting, true, false, false, false
+	con.since = con.lis.clk.Now()
+	con.wrote.Store(false)
 }
 
 // end ends the connection if it has waited a moment and no request stands in its
@@ -200,16 +259,16 @@
 // Close closes the connection, whatever is under way on it.
 func (con *Conn) Close() error {
 	con.lis.forget(con)
-	if con.unknown() {
+	if con.unanswered() {
 		con.lis.lost(con.RemoteAddr())
 	}
 	return con.Conn.Close()
 }
 
-// unknown reports a request that was taken and that the HTTP server doesn't know
-// of yet.
-func (con *Conn) unknown() bool {
+// unanswered reports a request that was taken, that no handler began and that
+// the HTTP server didn't answer by itself.
+func (con *Conn) unanswered() bool {
 	con.mu.Lock()
 	defer con.mu.Unlock()
-	return con.phase == taken && !con.known && !con.failed
+	return con.phase == taken && !con.begun && !con.failed && !con.wrote.Load()
 }
--- a/io/accept/export_test.go
+++ b/io/accept/export_test.go
@@ -1,5 +1,7 @@
 package accept
 
-// EndAtOnce lets connections be ended however short they have waited, so that
-// ends and requests meet as often as can be.
-func (lis *Listener) EndAtOnce() { lis.settle = 0 }
+import "time"
+
+// EndAfter lets connections be ended once they have waited so long: at once, so
+// that ends and requests meet as often as can be, or not within a test.
+func (lis *Listener) EndAfter(wait time.Duration) { lis.settle = wait }
--- /dev/null
+++ b/io/accept/mixed_test.go
@@ -0,0 +1,126 @@
+package accept_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lovagestream/io/accept"
+	"lovagestream/io/group"
+)
+
+// shapes are ways in which callers send; %s is the request's ID. A piece is sent
+// by itself after a moment.
+var shapes = [][]string{
+	{"GET / HTTP/1.1\r\nHost: h\r\nId: %s\r\n\r\n"},
+	{"G", "ET / HTTP/1.1\r\nHost: h\r\nId: %s\r\n\r\n"},
+	{"GET / HTTP/1.1\r\nHost: h\r\n", "Id: %s\r\n\r\n"},
+	{"POST / HTTP/1.1\r\nHost: h\r\nId: %s\r\nContent-Length: 2\r\n\r\n{}"},
+	{"POST / HTTP/1.1\r\nHost: h\r\nId: %s\r\nContent-Length: 2\r\n\r\n", "{}"},
+	{"POST / HTTP/1.1\r\nHost: h\r\nId: %s\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n", "{}"},
+	{"GET / HTTP/1.0\r\nHost: h\r\nId: %s\r\n\r\n"},
+	{"GET / HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\nId: %s\r\n\r\n"},
+	{"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nId: %s\r\n\r\n"},
+}
+
+func exchange(con net.Conn, rdr *bufio.Reader, shape []string, id string) (ok, closes bool) {
+	for num, piece := range shape {
+		if num > 0 {
+			time.Sleep(time.Millisecond)
+		}
+		if piece != "G" && piece != "{}" && num == len(shape)-1 || len(shape) > 1 && num == 0 && piece != "G" && shape[1] == "{}" {
+			piece = fmt.Sprintf(piece, id)
+		}
+		if _, err := io.WriteString(con, piece); err != nil {
+			break
+		}
+	}
+	for {
+		_ = con.SetReadDeadline(time.Now().Add(5 * time.Second))
+		res, err := http.ReadResponse(rdr, nil)
+		if err != nil {
+			return false, true
+		}
+		got, err := io.ReadAll(res.Body)
+		_ = res.Body.Close()
+		if res.StatusCode == http.StatusContinue {
+			continue
+		}
+		return err == nil && string(got) == "done", res.Close
+	}
+}
+
+// TestMixedCallersLoseNothing: callers of all shapes without a pause while idle
+// connections end again and again; then all end and the HTTP server does.
+func TestMixedCallersLoseNothing(t *testing.T) {
+	t.Parallel()
+	const callers, ends = 40, 400
+	hst := newHost(t, accept.Limits{Head: time.Second, Idle: 2 * time.Second}, func(srv *http.Server) {
+		run := srv.Handler
+		srv.Handler = http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
+			if _, err := io.ReadAll(req.Body); err != nil {
+				panic(http.ErrAbortHandler)
+			}
+			run.ServeHTTP(wri, req)
+		})
+	})
+	hst.lis.EndAfter(0)
+	ctx, stop := context.WithCancel(context.Background())
+	grp := group.New(ctx)
+	var answered, crossed, vain atomic.Int64
+	var stopping atomic.Bool
+	for num := range callers {
+		grp.Go(func(ctx context.Context) error {
+			for turn := 0; ctx.Err() == nil && !stopping.Load(); {
+				con, err := net.Dial("tcp", hst.lis.Addr().String())
+				if err != nil {
+					return nil
+				}
+				rdr := bufio.NewReader(con)
+				for ctx.Err() == nil {
+					turn++
+					id := strconv.Itoa(num) + "-" + strconv.Itoa(turn)
+					ok, closes := exchange(con, rdr, shapes[rand.IntN(len(shapes))], id)
+					switch {
+					case ok:
+						answered.Add(1)
+					case hst.didRun(id):
+						vain.Add(1)
+					default:
+						crossed.Add(1)
+					}
+					if closes {
+						break
+					}
+				}
+				_ = con.Close()
+			}
+			return nil
+		})
+	}
+	ended := 0
+	for range ends {
+		time.Sleep(3 * time.Millisecond)
+		ended += hst.lis.EndIdle()
+	}
+	stopping.Store(true)
+	left := hst.lis.Drain(context.Background())
+	require.NoError(t, hst.srv.Shutdown(context.Background()))
+	stop()
+	require.NoError(t, grp.Wait())
+	t.Logf("%d answered, %d ended, %d crossed, %d in vain, %d cuts, %d left", answered.Load(), ended, crossed.Load(), vain.Load(), hst.cuts.Load(), left)
+	require.Zero(t, vain.Load())
+	require.Zero(t, left)
+	require.Zero(t, hst.lis.Open())
+	require.Positive(t, ended)
+}
--- /dev/null
+++ b/io/edge/grace_test.go
@@ -0,0 +1,129 @@
+package edge
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestShortGraceAnswersARequestThatWasJustRead:
+//
+// The grace time is 3 s, so the stop ends its callers after 2.1 s, before it ever
+// began to close. A request had been read by then and its goroutine had not said
+// so yet; the listeners ended at once, with 0.9 s of the grace time left, and the
+// HTTP server dropped the request without a word.
+func TestShortGraceAnswersARequestThatWasJustRead(t *testing.T) {
+	t.Parallel()
+	heldAtTheEnd(t, 3*time.Second)
+}
+
+// TestGraceEndAnswersARequestThatWasJustRead: the same at the end of a longer
+// grace time, after the stop has begun to close.
+func TestGraceEndAnswersARequestThatWasJustRead(t *testing.T) {
+	t.Parallel()
+	heldAtTheEnd(t, 3300*time.Millisecond)
+}
+
+// heldAtTheEnd holds a request's goroutine for 150 ms across the moment at which
+// the grace time but its margin is over. Another request is under way until then,
+// so that the instance doesn't end before.
+func heldAtTheEnd(t *testing.T, grace time.Duration) {
+	t.Helper()
+	sto := newStopping(t)
+	sto.nod.set.Grace = grace
+	long, err := net.Dial("tcp", sto.lis.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = long.Close() }()
+	request(t, long, (grace - graceMargin + 100*time.Millisecond).String())
+	require.Eventually(t, func() bool { return sto.runs.Load() == 1 }, time.Second, time.Millisecond)
+	begun := time.Now()
+	sto.grp.Go(func(context.Context) error { return sto.nod.Stop() })
+	end := begun.Add(grace - graceMargin)
+	time.Sleep(time.Until(end.Add(-30 * time.Millisecond)))
+	sto.lis.HoldHead()
+	con, err := net.Dial("tcp", sto.lis.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = con.Close() }()
+	request(t, con, "held")
+	<-sto.lis.Held()
+	t.Logf("read %s after the stop", time.Since(begun))
+	time.Sleep(time.Until(end.Add(drainPoll + 150*time.Millisecond)))
+	sto.lis.Release()
+	got := answered(con, bufio.NewReader(con))
+	t.Logf("ended %s after the stop", time.Since(begun))
+	require.NotZero(t, got, "dropped without a word; the backend server ran %d", sto.runs.Load())
+	require.Equal(t, http.StatusOK, answered(long, bufio.NewReader(long)))
+	require.NoError(t, <-sto.done)
+}
+
+// TestShortGraceTellsThatConnectionsClose: with a grace time of 3 s a caller that
+// goes on over its kept connection is told before the end that it closes.
+func TestShortGraceTellsThatConnectionsClose(t *testing.T) {
+	t.Parallel()
+	sto := newStopping(t)
+	sto.nod.set.Grace = 3 * time.Second
+	con, err := net.Dial("tcp", sto.lis.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = con.Close() }()
+	rdr := bufio.NewReader(con)
+	sto.grp.Go(func(context.Context) error { return sto.nod.Stop() })
+	begun := time.Now()
+	num := 0
+	for closes := false; !closes; num++ {
+		request(t, con, "r")
+		res, err := readAnswer(con, rdr)
+		require.NoError(t, err, "answer %d, %s after the stop, on a connection of which nothing was said", num, time.Since(begun))
+		closes = res
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Logf("told after %s, %d answers", time.Since(begun), num)
+	require.NoError(t, <-sto.done)
+}
+
+// readAnswer reads an answer and reports whether it says that the connection
+// closes.
+func readAnswer(con net.Conn, rdr *bufio.Reader) (bool, error) {
+	_ = con.SetReadDeadline(time.Now().Add(5 * time.Second))
+	res, err := http.ReadResponse(rdr, nil)
+	if err != nil {
+		return false, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	_, err = io.Copy(io.Discard, res.Body)
+	return res.Close, err
+}
+
+// TestTwoStopsAtOnce: an instance is stopped twice; both end, and a request that
+// was being served meanwhile is answered.
+func TestTwoStopsAtOnce(t *testing.T) {
+	t.Parallel()
+	sto := newStopping(t)
+	stops := make(chan error, 2)
+	for range 2 {
+		sto.grp.Go(func(context.Context) error {
+			stops <- sto.nod.Stop()
+			return nil
+		})
+	}
+	time.Sleep(outOfRotation + 200*time.Millisecond)
+	con, err := net.Dial("tcp", sto.lis.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = con.Close() }()
+	request(t, con, "held")
+	require.Equal(t, 200, answered(con, bufio.NewReader(con)))
+	require.NoError(t, <-sto.done)
+	for range 2 {
+		select {
+		case err := <-stops:
+			require.NoError(t, err)
+		case <-time.After(10 * time.Second):
+			require.Fail(t, "a stop hangs")
+		}
+	}
+}
--- a/io/edge/node.go
+++ b/io/edge/node.go
@@ -55,8 +55,11 @@
 	// quietFor is how long no request may have been under way before the
 	// process ends ahead of its grace time.
 	quietFor = 700 * time.Millisecond
-	// graceMargin is what is left of the grace time for closing.
+	// graceMargin is what is left of the grace time for closing: endMost for
+	// requests whose goroutine got no processor, and serverEnd for the listeners.
 	graceMargin = 900 * time.Millisecond
+	endMost     = 500 * time.Millisecond
+	serverEnd   = 300 * time.Millisecond
 	// defaultGrace is used where the settings name none.
 	defaultGrace = 8 * time.Second
 	// idleTime is how long a caller's connection may stand open without a
@@ -142,8 +145,8 @@
 	callers.Handler = nod.srv
 	callers.IdleTimeout = idleTime
 	callers.ReadHeaderTimeout = headTime
-	callers.ConnState = nod.kept.Note
 	callers.MaxHeaderBytes = maxHeadBytes
+	nod.kept.Attach(callers.Server)
 	ready := khttp.NewServer(khttp.Listener(nod.ready), khttp.Timeout(0), endpoint(nod.set.Ready))
 	ready.Handler = http.HandlerFunc(nod.readiness)
 	servers := []transport.Server{callers, ready}
@@ -157,7 +160,7 @@
 		kratos.Server(servers...),
 		kratos.Signal(syscall.SIGTERM, os.Interrupt),
 		kratos.BeforeStop(nod.drain),
-		kratos.StopTimeout(graceMargin),
+		kratos.StopTimeout(serverEnd),
 	)
 }
 
@@ -261,6 +264,9 @@
 	if grace == 0 {
 		grace = defaultGrace
 	}
+	last := grace - graceMargin
+	// A short grace time leaves callers half of it to hear that connections end.
+	closeAfter := min(outOfRotation, last/2)
 	closing := false
 	busy := begun
 	for {
@@ -270,9 +276,9 @@
 		if nod.srv.Active() > 0 {
 			busy = now
 		}
-		if !closing && past > outOfRotation {
+		if !closing && past > closeAfter {
 			closing = true
-			nod.ctl.post(evStop{closing: true, end: begun.Add(grace - graceMargin)})
+			nod.ctl.post(evStop{closing: true, end: begun.Add(last)})
 			nod.prt.Lines.Note("closing", lines.Fields{"connections": nod.kept.Open(), "active": nod.srv.Active()})
 		}
 		if closing {
@@ -281,8 +287,8 @@
 			// their answer begun before it could say that the connection closes.
 			nod.kept.EndIdle()
 		}
-		if past > grace-graceMargin || closing && now.Sub(busy) > quietFor && past > outOfRotation+quietFor {
-			nod.endCallers(grace - graceMargin - past)
+		if past > last || closing && now.Sub(busy) > quietFor && past > closeAfter+quietFor {
+			nod.endCallers(max(last-past, 0) + endMost)
 			nod.drained.Store(true)
 			nod.prt.Lines.Note("drained", lines.Fields{"took": nod.prt.Clock.Now().Sub(begun).Milliseconds(), "active": nod.srv.Active()})
 			return nil
@@ -291,12 +297,12 @@
 }
 
 // endCallers ends all callers' connections, each when nothing is under way on
-// it, in what is left of the grace time. The HTTP server drops without a word
-// what it has read and not begun when it ends, so it must find none.
-func (nod *Node) endCallers(left time.Duration) {
+// it, in a time at most. The HTTP server drops without a word what it has read
+// and not begun when it ends, so it must find none.
+func (nod *Node) endCallers(most time.Duration) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	dog := nod.prt.Clock.Watch(max(0, left), cancel)
+	dog := nod.prt.Clock.Watch(most, cancel)
 	defer dog.Stop()
 	if num := nod.kept.Drain(ctx); num > 0 {
 		nod.prt.Lines.Note("callers-cut", lines.Fields{"connections": num, "active": nod.srv.Active()})
--- a/io/edge/stop_test.go
+++ b/io/edge/stop_test.go
@@ -26,11 +26,16 @@
 	"lovagestream/stand/stall"
 )
 
-// bareDialect passes requests on with their ID.
+// bareDialect passes requests on with their ID. One whose ID is a time takes the
+// backend server so long.
 type bareDialect struct{ Dialect }
 
 func (bareDialect) Request(req *http.Request) (*call.Request, error) {
-	return &call.Request{ID: req.Header.Get("Id"), Method: req.Method, Host: req.Host, Path: req.URL.Path, Target: req.RequestURI}, nil
+	out := &call.Request{ID: req.Header.Get("Id"), Method: req.Method, Host: req.Host, Path: req.URL.Path, Target: req.RequestURI, Patience: time.Second}
+	if wait, err := time.ParseDuration(out.ID); err == nil {
+		out.Patience = 2 * wait
+	}
+	return out, nil
 }
 
 func (bareDialect) Outgoing(req *call.Request, _ call.Extras) []call.Field {
@@ -66,12 +71,15 @@
 			sto.lis.Pass()
 			time.Sleep(workTime)
 		}
+		if wait, err := time.ParseDuration(req.Header.Get("Id")); err == nil {
+			time.Sleep(wait)
+		}
 		wri.Header().Set("Id", req.Header.Get("Id"))
 		_, _ = io.WriteString(wri, "confirmed")
 	}))
 	t.Cleanup(back.Close)
 	ctl, _ := newControl(t)
-	rou := &table.Route{Name: "r", Host: "h", Prefix: "/", Kind: call.Idempotent, Timeout: time.Second, Aim: 150 * time.Millisecond, Attempts: 2, Shares: []table.Share{{Service: "svc", Weight: 1}}, Anonymous: true}
+	rou := &table.Route{Name: "r", Host: "h", Prefix: "/", Kind: call.Idempotent, Timeout: time.Minute, Aim: 150 * time.Millisecond, Attempts: 2, Shares: []table.Share{{Service: "svc", Weight: 1}}, Anonymous: true}
 	ctl.tab = table.New(1, []*table.Route{rou}, []*table.Service{{Name: "svc"}}, nil, table.Limits{Header: 1 << 14, Body: 1 << 14, Head: 5 * time.Second, Idle: 30 * time.Second})
 	now := ctl.clk.Now()
 	ctl.put(now, stock.Known{Revision: 1, Entry: stock.Entry{ID: "s1", Service: "svc", Address: back.Listener.Addr().String(), Zone: "z", Slots: 4}}, "store")
--- a/io/serve/serve.go
+++ b/io/serve/serve.go
@@ -47,25 +47,26 @@
 
 // Node is one entry instance.
 type Node struct {
-	set     *setup.Settings
-	pols    runner.Policies
-	log     *logs.Logger
-	clk     clock.Service
-	lop     *loop.Loop
-	cli     *stage.Client
-	rnr     *runner.Runner
-	frt     *front.Server
-	mtr     *meter.Meter
-	trc     *trace.Tracer
-	rdr     *watch.Reader
-	callers net.Listener
-	// kept are callers' connections.
-	kept      *accept.Listener
+	set       *setup.Settings
+	pols      runner.Policies
+	log       *logs.Logger
+	clk       clock.Service
+	lop       *loop.Loop
+	cli       *stage.Client
+	rnr       *runner.Runner
+	frt       *front.Server
+	mtr       *meter.Meter
+	trc       *trace.Tracer
+	rdr       *watch.Reader
+	callers   net.Listener
 	operators net.Listener
-	peers     net.Listener
-	hub       *peer.Hub
-	clm       *claim.Service
-	giv       *order.Giver
+	// kept and watched are callers' and operators' connections.
+	kept    *accept.Listener
+	watched *accept.Listener
+	peers   net.Listener
+	hub     *peer.Hub
+	clm     *claim.Service
+	giv     *order.Giver
 	// boot is the content of the boot file, or nil.
 	boot []byte
 	gat  *limit.Gate
@@ -167,14 +168,16 @@
 	nod.kept = accept.New(nod.callers, nod.clk, nod.limits, nod.cut)
 	callers := khttp.NewServer(khttp.Listener(nod.kept), khttp.Timeout(0))
 	limitCallers(callers.Server, nod.set.Bounds())
-	callers.ConnState = nod.kept.Note
 	callers.HandlePrefix("/", nod.frt.Handler())
+	nod.kept.Attach(callers.Server)
+	nod.watched = accept.New(nod.operators, nod.clk, func() accept.Limits { return accept.Limits{} }, nod.cut)
 	operators := khttp.NewServer(nod.operatorOptions()...)
 	operators.HandleFunc("/healthz", func(wri http.ResponseWriter, _ *http.Request) { wri.WriteHeader(http.StatusOK) })
 	operators.HandleFunc("/readyz", nod.readyz)
 	operators.Handle("/debug/vars", nod.adm.Guard(expvar.Handler()))
 	operators.Handle(admin.PathStatus, nod.adm.Guard(nod.adm))
 	operators.Handle(admin.PathConfig, nod.adm.Guard(http.HandlerFunc(nod.adm.Config)))
+	nod.watched.Attach(operators.Server)
 	nod.app = kratos.New(
 		kratos.Name("lovagestream"),
 		kratos.ID(nod.set.Instance()),
@@ -186,7 +189,7 @@
 }
 
 func (nod *Node) operatorOptions() []khttp.ServerOption {
-	opts := []khttp.ServerOption{khttp.Listener(nod.operators), khttp.Timeout(0)}
+	opts := []khttp.ServerOption{khttp.Listener(nod.watched), khttp.Timeout(0)}
 	if nod.tls != nil {
 		opts = append(opts, khttp.TLSConfig(nod.tls))
 	}
@@ -250,14 +253,40 @@
 	if err != nil {
 		nod.log.Warn("Cut requests off at the end of the grace time.", logs.Fields{"error": err})
 	}
-	// The HTTP server drops without a word what it has read and not begun when it
-	// ends, so it must find no connection; who comes meanwhile is refused.
-	if left := nod.kept.Drain(dctx); left > 0 {
-		nod.log.Warn("Callers' connections are left at the end of the grace time.", logs.Fields{"connections": left})
-	}
+	nod.endCallers(dctx)
 	return err
 }
 
+// endMost is what read requests get beyond the grace time whose goroutine had no
+// processor, and operators' connections; the process' own stop time has a second
+// more than the grace time.
+const endMost = 500 * time.Millisecond
+
+// endCallers ends the connections of callers, and then those of operators, each
+// when nothing is under way on it. The HTTP server drops without a word what it
+// has read and not begun when it ends, so it must find none; who comes meanwhile
+// is refused.
+func (nod *Node) endCallers(ctx context.Context) {
+	for _, lis := range []*accept.Listener{nod.kept, nod.watched} {
+		lctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+		dog := nod.clk.Watch(nod.left(ctx)+endMost, cancel)
+		if num := lis.Drain(lctx); num > 0 {
+			nod.log.Warn("Connections are left at the end of the grace time.", logs.Fields{"connections": num, "listener": lis.Addr().String()})
+		}
+		dog.Stop()
+		cancel()
+	}
+}
+
+// left is the time to a context's deadline, or 0.
+func (nod *Node) left(ctx context.Context) time.Duration {
+	end, have := ctx.Deadline()
+	if !have {
+		return 0
+	}
+	return max(0, end.Sub(nod.clk.Now()))
+}
+
 // limits are the bounds of callers' connections.
 func (nod *Node) limits() accept.Limits {
 	bnd := nod.set.Bounds()
--- a/stand/stall/stall.go
+++ b/stand/stall/stall.go
@@ -21,8 +21,11 @@
 	never moment = iota
 	// atHead is right after the HTTP server has read a request's head.
 	atHead
-	// atWait is right after it has set the limit for the wait for a request.
+	// atWait is right after it has set the limit for the wait for a further
+	// request.
 	atWait
+	// atLimit is right after it has set any limit.
+	atLimit
 )
 
 // Listener hands out connections of which it can hold one.
@@ -45,10 +48,13 @@
 // HoldHead holds the next connection right after a request's head was read.
 func (lis *Listener) HoldHead() { lis.next.Store(int32(atHead)) }
 
-// HoldWait holds the next connection when it is about to wait for a request, its
-// limit set.
+// HoldWait holds the next connection when it is about to wait for a further
+// request, its limit set.
 func (lis *Listener) HoldWait() { lis.next.Store(int32(atWait)) }
 
+// HoldLimit holds the next connection right after a limit was set, whatever for.
+func (lis *Listener) HoldLimit() { lis.next.Store(int32(atLimit)) }
+
 // Waiting reports whether the connection that last set a limit waits for a
 // request.
 func (lis *Listener) Waiting() bool { return lis.waiting.Load() }
@@ -86,27 +92,36 @@
 	lis  *Listener
 	held atomic.Bool
 	shut atomic.Bool
+	// free is set while no limit holds.
+	free atomic.Bool
 }
 
 // SetReadDeadline shows where the HTTP server is: it sets a limit when it begins
 // to wait, and takes it away when it has read a head.
 func (soc *socket) SetReadDeadline(at time.Time) error {
-	future := at.After(time.Now())
-	soc.lis.waiting.Store(future)
 	err := soc.TCPConn.SetReadDeadline(at)
-	mom := never
+	limit := at.After(time.Now())
+	soc.lis.waiting.Store(limit)
+	further := soc.free.Swap(at.IsZero())
 	switch {
 	case at.IsZero():
-		mom = atHead
-	case future:
-		mom = atWait
+		soc.hold(atHead)
+	case limit && further:
+		soc.hold(atWait)
+	}
+	if limit {
+		soc.hold(atLimit)
 	}
-	if mom != never && soc.lis.next.CompareAndSwap(int32(mom), int32(never)) {
+	return err
+}
+
+// hold waits if the connection is to be held at the moment.
+func (soc *socket) hold(mom moment) {
+	if soc.lis.next.CompareAndSwap(int32(mom), int32(never)) {
 		soc.held.Store(true)
 		close(soc.lis.held)
 		<-soc.lis.release
 	}
-	return err
 }
 
 // Close of a held connection comes late.
