Don't hand a connection on that is being closed

The end of its context had set out to close the connection to the backend server, on a goroutine that waits for the processor; the answer's end gave the connection back meanwhile, and it was closed under the next request, which had nothing to do with that caller.

--- a/io/conns/exchange.go
+++ b/io/conns/exchange.go
@@ -136,8 +136,10 @@
 // Close gives the connection back if the body was read whole and nothing
 // speaks against it, and closes it otherwise, which ends the server's work.
 func (rep *Reply) Close() {
-	rep.stop()
-	if rep.reusable() {
+	// A caller that leaves as its answer ends has set the closing off, on a
+	// goroutine that may get on later: kept, the connection would be closed under
+	// the next request, which has nothing to do with that caller.
+	if rep.stop() && rep.reusable() {
 		rep.poo.keep(rep.con, rep.Answer.KeepIdle)
 		return
 	}
--- /dev/null
+++ b/io/conns/leave_test.go
@@ -0,0 +1,88 @@
+package conns
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lovagestream/core/call"
+	"lovagestream/io/clock"
+	"lovagestream/io/group"
+)
+
+// lateClose is a connection whose closing has been decided but comes late, as
+// where the goroutine that closes it waits for the processor.
+type lateClose struct {
+	*net.TCPConn
+	once    sync.Once
+	begun   chan struct{}
+	release chan struct{}
+}
+
+func (con *lateClose) Close() error {
+	con.once.Do(func() { close(con.begun) })
+	<-con.release
+	return con.TCPConn.Close()
+}
+
+// TestConnectionToBeClosedIsNotHandedOn:
+//
+// A caller left in the moment in which its answer was whole. The end of its
+// context set out to close the connection to the backend server, on a goroutine
+// that had to wait for the processor; the answer's end gave the same connection
+// back to the pool meanwhile. The next request was sent on it, and it was closed
+// under that request, which had nothing to do with the caller that left.
+func TestConnectionToBeClosedIsNotHandedOn(t *testing.T) {
+	t.Parallel()
+	back := httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
+		if req.URL.Path == "/second" {
+			time.Sleep(200 * time.Millisecond)
+		}
+		_, _ = io.WriteString(wri, "done")
+	}))
+	defer back.Close()
+	grp := group.New(context.Background())
+	defer grp.Stop()
+	poo := NewPool(clock.System{}, grp, nil)
+	head := func(status int, _ http.Header) call.Answer {
+		return call.Answer{Status: status, KeepIdle: 5 * time.Second}
+	}
+	address := back.Listener.Addr().String()
+
+	ctx, leave := context.WithCancel(context.Background())
+	first, err := poo.Do(ctx, Send{Address: address, Method: "GET", Target: "/first", Host: "h"}, "", head)
+	require.NoError(t, err)
+	_, err = io.ReadAll(first)
+	require.NoError(t, err)
+	<-first.wrote
+	late := &lateClose{TCPConn: first.con.Conn.(*net.TCPConn), begun: make(chan struct{}), release: make(chan struct{})}
+	first.con.Conn = late
+	leave()
+	<-late.begun
+	closed := make(chan struct{})
+	grp.Go(func(context.Context) error {
+		// Closing first is what a discard does, which waits as well.
+		first.Close()
+		close(closed)
+		return nil
+	})
+	time.AfterFunc(100*time.Millisecond, func() { close(late.release) })
+	select {
+	case <-closed:
+	case <-time.After(50 * time.Millisecond):
+	}
+
+	second, err := poo.Do(context.Background(), Send{Address: address, Method: "GET", Target: "/second", Host: "h"}, "", head)
+	require.NoError(t, err, "a connection that was being closed was handed on")
+	got, err := io.ReadAll(second)
+	require.NoError(t, err)
+	require.Equal(t, "done", string(got))
+	second.Close()
+}
