Tell a caller that its body is malformed or too slow

Seen by a raw client on the platform's callers' side: a malformed chunk cut the connection without an answer, which looks like a broken instance, so that the caller sends the same again elsewhere. Cause: every error of reading a body was taken for a caller that broke off. Beside it, a body that stopped coming held its buffer and the count of requests under way without end, which a planned stop waits for; and after 413 the connection stayed open.

Now: a malformed body gets 400, one that doesn't come within the caller's patience (30 s without one) 408, which promises that nothing ran, both with the connection closed; a declared length over the limit is refused before the body is read; a caller that broke off gets no answer, as before. One that ends its sending in the trailer gets 400, since net/http doesn't tell the two apart; RFC 9112, 8 allows it.

stand/crude is the raw client with one data file for both callers' sides.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -156,30 +156,38 @@
 	if vis.viw.Table != nil {
 		lim = vis.viw.Table.Limits()
 	}
-	body, err := io.ReadAll(io.LimitReader(htr.Body, lim.Body+1))
-	if err != nil {
-		// The caller broke off, or sent what is no request: it gets no answer.
-		vis.srv.jou.Note("request-unread", lines.Fields{"error": err.Error()})
-		panic(http.ErrAbortHandler)
+	req, fault := vis.srv.dia.Request(htr)
+	if fault == nil {
+		vis.req = req
 	}
-	req, err := vis.srv.dia.Request(htr)
-	if err != nil {
-		vis.req = &call.Request{}
-		return vis.deny(http.StatusBadRequest, "malformed", err)
+	if htr.ContentLength > lim.Body {
+		// Nobody needs to send or keep what is refused anyway.
+		return vis.head(htr, lim, htr.ContentLength, fault)
 	}
-	vis.req = req
-	req.Body = body
+	body, ok := vis.body(htr, lim.Body)
+	if !ok || !vis.head(htr, lim, int64(len(body)), fault) {
+		return false
+	}
+	vis.req.Body = body
+	return vis.route()
+}
+
+// head checks a request up to its route; fault is what its decoder found, size
+// its body's length in bytes.
+func (vis *visit) head(htr *http.Request, lim table.Limits, size int64, fault error) bool {
 	switch {
+	case fault != nil:
+		return vis.deny(http.StatusBadRequest, "malformed", fault)
 	case vis.viw.Table == nil:
 		return vis.refuse("no-configuration-yet", unknownWait)
 	case !vis.viw.Verified:
 		return vis.refuse("unverified-after-pause", unknownWait)
 	case lim.Header > 0 && headSize(htr.Header) > lim.Header:
 		return vis.deny(http.StatusRequestHeaderFieldsTooLarge, "head-too-large", nil)
-	case int64(len(body)) > lim.Body:
-		return vis.deny(http.StatusRequestEntityTooLarge, "body-too-large", nil)
+	case size > lim.Body:
+		return vis.sever(http.StatusRequestEntityTooLarge, "body-too-large", nil)
 	}
-	return vis.route()
+	return true
 }
 
 func headSize(hdr http.Header) int {
--- /dev/null
+++ b/io/front/odd_test.go
@@ -0,0 +1,33 @@
+package front_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"lovagestream/io/front"
+	"lovagestream/stand/crude"
+)
+
+// A caller sends what is no request, or one that can be read in two ways. It
+// must be told so, and no backend server may see any of it. Each case's story
+// is in the file.
+func TestOddRequests(t *testing.T) {
+	cases, err := crude.Odd()
+	require.NoError(t, err)
+	ent := newEntry(t, tokens(3, 1))
+	for _, cas := range cases {
+		t.Run(cas.Name(), func(t *testing.T) { require.NoError(t, cas.Play(ent.crudePlace())) })
+	}
+}
+
+// crudePlace is where the instance takes odd requests. A backend server of this
+// side gets calls of stages, not the caller's body.
+func (ent *entry) crudePlace() crude.Place {
+	return crude.Place{
+		Side: crude.Own, Address: ent.nod.CallersAddress(), Path: "/v1/pipelines/test",
+		Head: "Authorization: Bearer caller-token\r\n",
+		Soon: front.HeaderDeadline + ": 300ms\r\n",
+		Seen: func() crude.Seen { return crude.Seen{Runs: int(ent.calls.Swap(0))} },
+	}
+}
--- /dev/null
+++ b/stand/crude/play.go
@@ -0,0 +1,152 @@
+package crude
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Seen is what backend servers got of one case.
+type Seen struct {
+	// Runs counts requests that began to run.
+	Runs int
+	// Body is the last one's body.
+	Body string
+}
+
+// Place is where cases are sent.
+type Place struct {
+	Side    Side
+	Address string
+	// Path is one that runs, Head the fields that it needs, each ended by CRLF.
+	Path string
+	Head string
+	// Soon is the field of a caller that waits for 300 ms, ended by CRLF.
+	Soon string
+	// Seen tells what backend servers got since it was last asked.
+	Seen func() Seen
+}
+
+// patience is how long an answer or the end of a connection may take. A caller
+// that breaks the rules waits no longer than one that keeps them.
+const patience = 10 * time.Second
+
+// probe is a request that no path knows: its answer shows that the connection
+// still takes requests.
+const probe = "GET /no-such-path HTTP/1.1\r\nHost: h\r\n"
+
+// Play sends a case and returns what differs from what the file wants.
+func (cas *Case) Play(plc Place) error {
+	wan := cas.wants[plc.Side]
+	if wan == nil {
+		return errors.Errorf("says nothing of %s", plc.Side)
+	}
+	con, err := net.Dial("tcp", plc.Address)
+	if err != nil {
+		return errors.Wrap(err, "connect")
+	}
+	defer func() { _ = con.Close() }()
+	plc.Seen()
+	tlk := &talk{con: con.(*net.TCPConn), rdr: bufio.NewReader(con), plc: plc}
+	if err := tlk.send(cas.steps); err != nil {
+		return err
+	}
+	if err := tlk.judge(wan); err != nil {
+		return err
+	}
+	return wan.ran(plc.Seen())
+}
+
+// ran compares with what backend servers saw.
+func (wan *want) ran(got Seen) error {
+	switch {
+	case !wan.runs && got.Runs > 0:
+		return errors.Errorf("%d runs of what was denied", got.Runs)
+	case wan.runs && got.Runs == 0:
+		return errors.New("did not run")
+	case wan.hasBody && got.Body != wan.body:
+		return errors.Errorf("the server got the body %q, want %q", got.Body, wan.body)
+	}
+	return nil
+}
+
+// talk is one connection of the caller.
+type talk struct {
+	con *net.TCPConn
+	rdr *bufio.Reader
+	plc Place
+}
+
+func (tlk *talk) send(steps []step) error {
+	_ = tlk.con.SetDeadline(time.Now().Add(patience))
+	for _, stp := range steps {
+		time.Sleep(stp.wait)
+		if stp.bytes != "" {
+			txt := strings.NewReplacer("{path}", tlk.plc.Path, "{head}\r\n", tlk.plc.Head, "{soon}\r\n", tlk.plc.Soon).Replace(stp.bytes)
+			if _, err := io.WriteString(tlk.con, txt); err != nil {
+				// The other side may have closed, which judge finds out.
+				return nil //nolint:nilerr // see above
+			}
+		}
+		if stp.half {
+			if err := tlk.con.CloseWrite(); err != nil {
+				return errors.Wrap(err, "half-close")
+			}
+		}
+		if stp.interim > 0 {
+			if got := tlk.answer(); got != stp.interim {
+				return errors.Errorf("answer %d instead of the interim %d", got, stp.interim)
+			}
+		}
+	}
+	return nil
+}
+
+// answer reads one answer and returns its status, or noAnswer.
+func (tlk *talk) answer() int {
+	_ = tlk.con.SetDeadline(time.Now().Add(patience))
+	res, err := http.ReadResponse(tlk.rdr, nil)
+	if err != nil {
+		return noAnswer
+	}
+	defer func() { _ = res.Body.Close() }()
+	if res.StatusCode == http.StatusContinue {
+		return res.StatusCode
+	}
+	if _, err := io.Copy(io.Discard, res.Body); err != nil {
+		return noAnswer
+	}
+	return res.StatusCode
+}
+
+func (tlk *talk) judge(wan *want) error {
+	for _, status := range wan.statuses {
+		if got := tlk.answer(); got != status {
+			return errors.Errorf("answer %d, want %d (0 is none)", got, status)
+		}
+	}
+	if wan.kept {
+		if _, err := io.WriteString(tlk.con, probe+tlk.plc.Head+"\r\n"); err != nil {
+			return errors.Wrap(err, "the connection is closed, want kept")
+		}
+		if got := tlk.answer(); got != http.StatusNotFound {
+			return errors.Errorf("after the answer, the connection gave %d to a further request, want kept", got)
+		}
+		return nil
+	}
+	_ = tlk.con.SetDeadline(time.Now().Add(patience))
+	left, err := io.ReadAll(tlk.rdr)
+	var nerr net.Error
+	switch {
+	case errors.As(err, &nerr) && nerr.Timeout():
+		return errors.New("the connection stays open, want closed")
+	case len(left) > 0:
+		return errors.Errorf("further bytes: %.200q", left)
+	}
+	return nil
+}
