Bound the wait for the rest of a refused body

After 413, net/http reads on so that a caller which still sends isn't reset; one that sent nothing more held the connection without end, on the platform's side for a declared and a chunked body, on the own side for a chunked one (its read bound was cleared before the size was known).

--- a/io/entry/body.go
+++ b/io/entry/body.go
@@ -5,12 +5,17 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 
 	"lovagestream/io/lines"
 )
 
+// restTime is for the rest of a body that is refused: some round trips of a
+// far caller.
+const restTime = time.Second
+
 // body reads a request's body, and one byte over the limit of one that is too
 // large. If it can't be read to its end, the caller is told why, or nothing if
 // it broke off, and ok is false.
@@ -52,8 +57,11 @@
 
 // sever denies a request whose body was not read to its end. The connection ends
 // with the answer: what comes on it is the rest of that body, and would be
-// taken for the next request.
+// taken for the next request. After the answer, the HTTP server reads on so that
+// a caller which still sends isn't reset before it has read the answer; without
+// a bound, one that sends nothing more would hold the connection there.
 func (vis *visit) sever(status int, reason string, err error) bool {
+	_ = http.NewResponseController(vis.wri).SetReadDeadline(vis.srv.clk.Now().Add(restTime))
 	vis.wri.Header().Set("Connection", "close")
 	return vis.deny(status, reason, err)
 }
--- a/io/front/read.go
+++ b/io/front/read.go
@@ -117,6 +117,12 @@
 	ctl := http.NewResponseController(wri)
 	_ = ctl.SetReadDeadline(deadline)
 	raw, err := io.ReadAll(io.LimitReader(hrq.Body, srv.opt.maxBody+1))
+	if err == nil && int64(len(raw)) > srv.opt.maxBody {
+		// The HTTP server reads some of the rest after the answer. Without a
+		// near bound, a caller that sends nothing more would hold it there.
+		_ = ctl.SetReadDeadline(srv.clk.Now().Add(srv.opt.writeBound))
+		return nil, tooLarge
+	}
 	if err == nil {
 		// The bound must be gone before the request runs: the server notices
 		// a caller that leaves by a read that would fail by it.
@@ -127,8 +133,6 @@
 		return nil, refuse(result.DeadlinePassed, 0, "body: did not come before the deadline")
 	case err != nil:
 		return nil, refuse(result.BadRequest, 0, "body: could not be read to its end")
-	case int64(len(raw)) > srv.opt.maxBody:
-		return nil, tooLarge
 	case !json.Valid(raw):
 		return nil, refuse(result.BadRequest, 0, "body: want one JSON value")
 	}
