Draw failed requests by a seed, to be looked into

Cause: whoever checks that failures can be explained from the lines must not choose which; there was no way to draw them. Change: lovagestream trace -draw NUMBER -seed SEED lists requests that were refused, failed, or lost with their instance (lines, no end, and the instance began anew or went silent).

--- /dev/null
+++ b/cmd/lovagestream/draw.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sort"
+	"time"
+)
+
+// How a request failed, as its lines show it.
+const (
+	endRefused = "refused"
+	endFailed  = "failed"
+	// endLost is the end of a request whose instance wrote of it and then no more.
+	endLost = "lost"
+)
+
+// goneFor is how long an instance is silent, while others write on, before its
+// open requests count as lost. Above the longest pause that an instance
+// survives in the field, some seconds, and above the gaps of a quiet one.
+const goneFor = 10 * time.Second
+
+// failure is a request that wasn't served.
+type failure struct {
+	id   string
+	how  string
+	from string
+	at   time.Time
+}
+
+// failures lists the requests that were refused, failed or lost with their
+// instance, each once, by ID. A request under way when the lines end is none.
+func failures(all []logLine) []failure {
+	open, ended := map[string]failure{}, map[string]failure{}
+	begun, wrote := map[string][]time.Time{}, map[string]time.Time{}
+	var last time.Time
+	for num := range all {
+		lin := &all[num]
+		if lin.at.After(last) {
+			last = lin.at
+		}
+		if lin.at.After(wrote[lin.from]) {
+			wrote[lin.from] = lin.at
+		}
+		if lin.kind == "start" {
+			begun[lin.from] = append(begun[lin.from], lin.at)
+		}
+		id, _ := lin.fie["id"].(string)
+		if id == "" {
+			continue
+		}
+		fai := failure{id: id, from: lin.from, at: lin.at}
+		switch lin.kind {
+		case "request-served":
+			ended[id] = fai
+		case "request-refused":
+			fai.how = endRefused
+			ended[id] = fai
+		case "request-failed":
+			fai.how = endFailed
+			ended[id] = fai
+		case "verdict", "first-event", "send-failed":
+			if old, have := open[id]; !have || fai.at.After(old.at) {
+				open[id] = fai
+			}
+		}
+	}
+	var out []failure
+	for _, fai := range ended {
+		if fai.how != "" {
+			out = append(out, fai)
+		}
+	}
+	for id, fai := range open {
+		_, have := ended[id]
+		if !have && gone(fai, begun[fai.from], wrote[fai.from], last) {
+			fai.how = endLost
+			out = append(out, fai)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].id < out[j].id })
+	return out
+}
+
+// gone reports whether the process that had a request is over: it began anew
+// later, or wrote nothing more while others did.
+func gone(fai failure, begun []time.Time, wrote, last time.Time) bool {
+	for _, at := range begun {
+		if at.After(fai.at) {
+			return true
+		}
+	}
+	return last.Sub(wrote) > goneFor
+}
+
+// draw takes a number of failures by a seed. The same lines and seed give the
+// same ones, in whatever order the files are named.
+func draw(all []failure, num int, seed uint64) []failure {
+	out := append([]failure(nil), all...)
+	rnd := rand.New(rand.NewPCG(seed, 0))
+	rnd.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out[:min(num, len(out))]
+}
+
+func printDrawn(out io.Writer, of int, drawn []failure) {
+	fmt.Fprintf(out, "%d of %d failed requests\n", len(drawn), of)
+	for _, fai := range drawn {
+		fmt.Fprintf(out, "%-20s %-8s %-24s %s\n", fai.id, fai.how, fai.from, fai.at.Format("15:04:05.000"))
+	}
+}
--- a/cmd/lovagestream/trace.go
+++ b/cmd/lovagestream/trace.go
@@ -21,7 +21,10 @@
 const traceAbout = `Reads lines that entry instances wrote and prints those of one request in the
 order of their times, with what was learnt meanwhile of the servers, members and
 instances that it met. Each instance writes its own clock: an answer that seems
-to come before its question is marked, and nothing is corrected.`
+to come before its question is marked, and nothing is corrected.
+
+With -draw it lists requests that failed (refused, failed, or lost with their
+instance), drawn by a seed, so that nobody chooses which ones are looked into.`
 
 // around is how long before a request's first and after its last line other
 // lines on its servers belong to its story.
@@ -40,22 +43,29 @@
 }
 
 func runTrace(args []string, out, errs io.Writer) int {
-	fls := newFlags("trace", "ID FILE...", traceAbout, "  lovagestream trace 9c41d07be2a35f68 entry-1.log entry-2.log\n", errs)
+	fls := newFlags("trace", "ID FILE... | -draw NUMBER [-seed SEED] FILE...", traceAbout, "  lovagestream trace 9c41d07be2a35f68 entry-1.log entry-2.log\n  lovagestream trace -draw 10 -seed 7 entry-1.log entry-2.log\n", errs)
+	num := fls.Int("draw", 0, "list so many failed requests instead of one's story")
+	seed := fls.Uint64("seed", 1, "what decides which are drawn")
 	if code := parse(fls, args); code >= 0 {
 		return code
 	}
-	if fls.NArg() < 2 {
+	paths := fls.Args()
+	if *num == 0 && len(paths) > 0 {
+		paths = paths[1:]
+	}
+	if len(paths) == 0 || *num < 0 {
 		fls.Usage()
 		return exitUsage
 	}
-	var all []logLine
-	for _, path := range fls.Args()[1:] {
-		got, err := readLines(path)
-		if err != nil {
-			fmt.Fprintln(errs, "lovagestream:", err)
-			return exitFailed
-		}
-		all = append(all, got...)
+	all, err := readAll(paths)
+	if err != nil {
+		fmt.Fprintln(errs, "lovagestream:", err)
+		return exitFailed
+	}
+	if *num > 0 {
+		fai := failures(all)
+		printDrawn(out, len(fai), draw(fai, *num, *seed))
+		return exitOK
 	}
 	story := storyOf(fls.Arg(0), all)
 	if len(story) == 0 {
@@ -66,6 +76,19 @@
 	return exitOK
 }
 
+// readAll reads the lines of several instances, each from its own file.
+func readAll(paths []string) ([]logLine, error) {
+	var all []logLine
+	for _, path := range paths {
+		got, err := readLines(path)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, got...)
+	}
+	return all, nil
+}
+
 // readLines reads the lines that are JSON; others are not the program's.
 func readLines(path string) ([]logLine, error) {
 	fil, err := os.Open(path)
