Draw: denied requests aside, and one way to fail alone

They are counted and not drawn. -how draws one kind. Red: the denied request of the data file was drawn as a failed one.

--- a/cmd/lovagestream/draw.go
+++ b/cmd/lovagestream/draw.go
@@ -14,8 +14,14 @@
 	endFailed  = "failed"
 	// endLost is the end of a request whose instance wrote of it and then no more.
 	endLost = "lost"
+	// endDenied is what the configuration in force doesn't allow: the answer is
+	// right as a rule, and its own line names the version.
+	endDenied = "denied"
 )
 
+// denials are the reasons with which the configuration denies a request.
+var denials = map[string]bool{"no-route": true, "unknown-credential": true}
+
 // goneFor is how long an instance is silent, while others write on, before its
 // open requests count as lost. Above the longest pause that an instance
 // survives in the field, some seconds, and above the gaps of a quiet one.
@@ -30,8 +36,9 @@
 }
 
 // failures lists the requests that were refused, failed or lost with their
-// instance, each once, by ID. A request under way when the lines end is none.
-func failures(all []logLine) []failure {
+// instance, each once, by ID, and counts those that the configuration denied. A
+// request under way when the lines end is none.
+func failures(all []logLine) (out []failure, denied int) {
 	open, ended := map[string]failure{}, map[string]failure{}
 	begun, wrote := map[string][]time.Time{}, map[string]time.Time{}
 	var last time.Time
@@ -59,6 +66,9 @@
 			ended[id] = fai
 		case "request-failed":
 			fai.how = endFailed
+			if reason, _ := lin.fie["reason"].(string); denials[reason] {
+				fai.how = endDenied
+			}
 			ended[id] = fai
 		case "verdict", "first-event", "send-failed":
 			if old, have := open[id]; !have || fai.at.After(old.at) {
@@ -66,9 +76,12 @@
 			}
 		}
 	}
-	var out []failure
 	for _, fai := range ended {
-		if fai.how != "" {
+		switch fai.how {
+		case "":
+		case endDenied:
+			denied++
+		default:
 			out = append(out, fai)
 		}
 	}
@@ -80,6 +93,17 @@
 		}
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].id < out[j].id })
+	return out, denied
+}
+
+// ofKind leaves the failures that ended in one way, or all for an empty word.
+func ofKind(all []failure, how string) []failure {
+	var out []failure
+	for _, fai := range all {
+		if how == "" || fai.how == how {
+			out = append(out, fai)
+		}
+	}
 	return out
 }
 
@@ -103,8 +127,8 @@
 	return out[:min(num, len(out))]
 }
 
-func printDrawn(out io.Writer, of int, drawn []failure) {
-	fmt.Fprintf(out, "%d of %d failed requests\n", len(drawn), of)
+func printDrawn(out io.Writer, of, denied int, drawn []failure) {
+	fmt.Fprintf(out, "%d of %d failed requests; %d denied by the configuration aside\n", len(drawn), of, denied)
 	for _, fai := range drawn {
 		fmt.Fprintf(out, "%-20s %-8s %-24s %s\n", fai.id, fai.how, fai.from, fai.at.Format("15:04:05.000"))
 	}
--- a/cmd/lovagestream/draw_test.go
+++ b/cmd/lovagestream/draw_test.go
@@ -47,6 +47,7 @@
 	want := strings.Split(strings.TrimSpace(data["want"]), "\n")
 
 	require.ElementsMatch(t, want, drawn(t, "-draw", "10", "-seed", "1", one, two))
+	require.Equal(t, want[3:], drawn(t, "-draw", "10", "-how", "lost", one, two))
 	seen := map[string]bool{}
 	for _, seed := range []string{"1", "2", "3", "4", "5", "6", "7", "8"} {
 		got := drawn(t, "-draw", "2", "-seed", seed, one, two)
--- a/cmd/lovagestream/trace.go
+++ b/cmd/lovagestream/trace.go
@@ -24,7 +24,8 @@
 to come before its question is marked, and nothing is corrected.
 
 With -draw it lists requests that failed (refused, failed, or lost with their
-instance), drawn by a seed, so that nobody chooses which ones are looked into.`
+instance), drawn by a seed, so that nobody chooses which ones are looked into.
+Those that the configuration denied are counted and not drawn.`
 
 // around is how long before a request's first and after its last line other
 // lines on its servers belong to its story.
@@ -43,9 +44,10 @@
 }
 
 func runTrace(args []string, out, errs io.Writer) int {
-	fls := newFlags("trace", "ID FILE... | -draw NUMBER [-seed SEED] FILE...", traceAbout, "  lovagestream trace 9c41d07be2a35f68 entry-1.log entry-2.log\n  lovagestream trace -draw 10 -seed 7 entry-1.log entry-2.log\n", errs)
+	fls := newFlags("trace", "ID FILE... | -draw NUMBER [-seed SEED] [-how KIND] FILE...", traceAbout, "  lovagestream trace 9c41d07be2a35f68 entry-1.log entry-2.log\n  lovagestream trace -draw 10 -seed 7 entry-1.log entry-2.log\n", errs)
 	num := fls.Int("draw", 0, "list so many failed requests instead of one's story")
 	seed := fls.Uint64("seed", 1, "what decides which are drawn")
+	how := fls.String("how", "", "draw only those that were "+endRefused+", "+endFailed+" or "+endLost)
 	if code := parse(fls, args); code >= 0 {
 		return code
 	}
@@ -63,8 +65,9 @@
 		return exitFailed
 	}
 	if *num > 0 {
-		fai := failures(all)
-		printDrawn(out, len(fai), draw(fai, *num, *seed))
+		fai, denied := failures(all)
+		fai = ofKind(fai, *how)
+		printDrawn(out, len(fai), denied, draw(fai, *num, *seed))
 		return exitOK
 	}
 	story := storyOf(fls.Arg(0), all)
