Lines name the server a request was at, and that it was sent

Change: the last line names the server that the request was last offered to; a line says before each send of a request without stages where it goes. Red: TestLinesNameWhereARequestWas found no line while the server had the request.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -103,8 +103,10 @@
 	give time.Time
 	end  time.Time
 	pri  marks.Print
-	// sent counts servers that may have run it.
-	sent int
+	// sent counts servers that may have run it; server is the one that it was
+	// last offered to, empty before the first.
+	sent   int
+	server string
 	// answered is set when the caller's answer has begun.
 	answered bool
 	// spn is the request's span; status and reason are how it ended.
@@ -303,6 +305,9 @@
 		fie["route"] = vis.rou.Name
 		fie["service"] = vis.service
 		fie["sent"] = vis.sent
+		if vis.server != "" {
+			fie["server"] = vis.server
+		}
 		fie["priority"] = vis.priority
 		fie["urgency"] = vis.rou.Priority
 	}
@@ -340,6 +345,7 @@
 func (vis *visit) sendTo(ctx context.Context, address string, ext call.Extras) (rep *conns.Reply, err error) {
 	_, spn := trace.Start(ctx, "send", attribute.String("server", ext.Server))
 	defer func() { spn.End(err) }()
+	vis.server = ext.Server
 	snd := conns.Send{
 		Address: address, Method: vis.req.Method, Target: vis.req.Target, Host: vis.req.Host,
 		Fields: vis.srv.dia.Outgoing(vis.req, ext), Body: vis.req.Body,
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -121,6 +121,7 @@
 	ctl *testControl
 	url string
 	out *bytes.Buffer
+	jou *lines.Writer
 }
 
 func newWorld(t *testing.T, rou *table.Route, svc *table.Service, servers ...stock.Entry) *world {
@@ -140,12 +141,28 @@
 	grp := group.New(context.Background())
 	t.Cleanup(grp.Stop)
 	clk := clock.System{}
-	srv := httptest.NewServer(entry.New("me", "z", wld.ctl, testDialect{}, conns.NewPool(clk, grp, nil), clk, lines.New(wld.out, clk), gauge.New()))
+	wld.jou = lines.New(wld.out, clk)
+	srv := httptest.NewServer(entry.New("me", "z", wld.ctl, testDialect{}, conns.NewPool(clk, grp, nil), clk, wld.jou, gauge.New()))
 	t.Cleanup(srv.Close)
 	wld.url = srv.URL
 	return wld
 }
 
+// lines returns the lines of a kind that were written so far.
+func (wld *world) lines(t *testing.T, kind string) []string {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	require.NoError(t, wld.jou.Run(ctx))
+	var out []string
+	for _, lin := range strings.Split(wld.out.String(), "\n") {
+		if strings.Contains(lin, `"msg":"`+kind+`"`) {
+			out = append(out, lin)
+		}
+	}
+	return out
+}
+
 func (wld *world) change(fun func(*entry.View)) {
 	viw := *wld.ctl.viw.Load()
 	fun(&viw)
@@ -300,6 +317,29 @@
 	}
 }
 
+// A caller complains of an error that a server gave, and another of a payment
+// request that never came back, since the instance that had it lost power. The
+// first request's last line must name the server; the second must have a line
+// from before its answer, or nobody can tell that it was on its way, and where.
+func TestLinesNameWhereARequestWas(t *testing.T) {
+	var runs atomic.Int64
+	var wld *world
+	var meanwhile []string
+	one := server(t, &runs, func(wri http.ResponseWriter, _ *http.Request) {
+		meanwhile = wld.lines(t, "request-sent")
+		wri.Header().Set("Signed", "s")
+		wri.WriteHeader(http.StatusInternalServerError)
+	})
+	wld = newWorld(t, &table.Route{Kind: call.Once}, plainService, one)
+	require.Equal(t, http.StatusInternalServerError, wld.send(t, "/p/x").status)
+	require.Len(t, meanwhile, 1)
+	require.Contains(t, meanwhile[0], `"id":"r1"`)
+	require.Contains(t, meanwhile[0], `"server":"`+one.ID+`"`)
+	last := wld.lines(t, "request-failed")
+	require.Len(t, last, 1)
+	require.Contains(t, last[0], `"server":"`+one.ID+`"`)
+}
+
 // A stream that its engine broke off goes on at another engine where the route
 // allows it, from the last whole event, within the same answer; elsewhere the
 // caller sees that it is cut.
