Pool lines tell what was asked for and what is listed

Change: pool-state brings asked (pieces that requests needed, refused ones included) beside pieces (made), and listed beside servers (usable). Red: TestPoolStateTellsWhatWasAskedFor found neither.

--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -106,6 +106,9 @@
 	behind map[string]time.Time
 	// frees are results to give up, by maker's address.
 	frees map[string][]string
+	// asked counts the pieces that requests needed of each pool since the pools'
+	// states were last written, refused ones included.
+	asked map[string]int
 
 	stopping bool
 	// closingAt is when a planned stop will be over; zero before it is near.
@@ -145,7 +148,7 @@
 		set: set, clk: clk, dec: dec, jou: jou, que: make(chan event, queueLength),
 		mem:  member.NewSet(member.Member{Address: set.Told, Zone: set.Zone, Born: born, Share: set.Share}),
 		book: stock.NewBook(), repeats: batch.NewRepeats(set.RepeatRatio, set.RepeatSlack, set.RepeatWindow),
-		strangers: map[string]int64{}, waiters: map[string]*waiter{}, behind: map[string]time.Time{}, unlike: map[string]time.Time{}, relinked: map[string]bool{}, frees: map[string][]string{},
+		strangers: map[string]int64{}, waiters: map[string]*waiter{}, behind: map[string]time.Time{}, unlike: map[string]time.Time{}, relinked: map[string]bool{}, frees: map[string][]string{}, asked: map[string]int{},
 		verified: true, ticked: now, boot: bootTime(), deskAt: set.Told, reread: func() {},
 	}
 	ctl.desk = batch.New(ctl, ctl.repeats)
--- a/io/edge/control_test.go
+++ b/io/edge/control_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"lovagestream/core/batch"
+	"lovagestream/core/call"
 	"lovagestream/core/member"
 	"lovagestream/core/stock"
 	"lovagestream/core/table"
@@ -155,6 +157,56 @@
 	require.Empty(t, ctl.waiters)
 }
 
+// staged decodes a configuration with one pool.
+type staged struct{}
+
+func (staged) Config([]byte) (*table.Table, error) {
+	pool := &table.Service{Name: "p", Batch: &table.Batch{Calls: 1, Size: 8, Call: 100 * time.Millisecond, Piece: time.Millisecond, Room: 1 << 20, Life: time.Minute}}
+	return table.New(3, nil, []*table.Service{pool, {Name: "m", Model: &table.Model{Slots: 8, Memory: 1 << 20}}}, nil, table.Limits{}), nil
+}
+
+// mute makes no calls.
+type mute struct{ StageDialect }
+
+func (mute) StageRun(batch.Call) (string, string, []call.Field, []byte, error) {
+	return "", "", nil, nil, errors.New("test: no calls are made")
+}
+
+// A caller was refused since the queue was too long, and asks why. Whether more
+// was asked for than usual, or fewer servers were left to make it, shows only in
+// the pool's own line: it must say both, or the engineer guesses.
+func TestPoolStateTellsWhatWasAskedFor(t *testing.T) {
+	ctl, _ := newControl(t)
+	ctl.dec = staged{}
+	ctl.calls.dia = mute{}
+	var out bytes.Buffer
+	ctl.jou = lines.New(&out, clock.System{})
+	entry := func(id string) stock.Known {
+		return stock.Known{Revision: 4, Entry: stock.Entry{ID: id, Service: "p", Address: id, Zone: "z"}}
+	}
+	ctl.do(evConfig{doc: []byte("3")}, evServers{list: follow.Listing{Revision: 5, Words: []stock.Known{engine("e", 4), entry("p1"), entry("p2")}}, whole: true}, evStore{})
+	spec := func(owner, id string, pieces int) batch.Spec {
+		now := ctl.clk.Now()
+		return batch.Spec{Key: batch.Key{Owner: owner, ID: id}, Service: "m", Stages: []table.Stage{{Service: "p", Size: 1}}, Pieces: []int{pieces}, PieceKey: "k", Prompt: 10, Arrived: now, Aim: now.Add(time.Second), Give: now.Add(4 * time.Second), End: now.Add(9 * time.Second)}
+	}
+	ctl.do(evSubmit{spec: spec("b", "r1", 4), out: make(chan batch.Verdict, 1)}, evGot{from: "a", msg: mesh.Submit{Spec: spec("a", "r2", 3)}})
+	ctl.states(ctl.clk.Now())
+	ctl.states(ctl.clk.Now())
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	require.NoError(t, ctl.jou.Run(ctx))
+	var states []string
+	for _, lin := range strings.Split(out.String(), "\n") {
+		if strings.Contains(lin, `"msg":"pool-state"`) {
+			states = append(states, lin)
+		}
+	}
+	require.Len(t, states, 2)
+	require.Contains(t, states[0], `"asked":7,`, "pieces, of own and others' callers")
+	require.Contains(t, states[0], `"listed":2,`)
+	require.Contains(t, states[1], `"asked":0,`, "counted anew each time")
+}
+
 // Another server answers at an address. Nothing goes there until the entry
 // changes.
 func TestStrangerIsLeftAlone(t *testing.T) {
--- a/io/edge/duties.go
+++ b/io/edge/duties.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -53,13 +54,21 @@
 // statePeriod is how often the state of the pools is written down.
 const statePeriod = time.Second
 
+// states tells of each pool what was asked of it and what it made, and with how
+// many of the servers that the platform lists.
 func (ctl *Control) states(now time.Time) {
+	listed := map[string]int{}
+	for _, ent := range ctl.usable() {
+		listed[ent.Service]++
+	}
 	for _, sta := range ctl.desk.States(now) {
 		ctl.jou.Note("pool-state", lines.Fields{
-			"service": sta.Service, "servers": sta.Servers, "busy": sta.Busy, "waiting": sta.Waiting, "in-time": sta.InTime,
-			"calls": sta.Calls, "pieces": sta.Pieces, "room": int(100 * sta.Room), "no-room": sta.NoRoom, "slow": sta.Slow, "jobs": ctl.desk.Jobs(),
+			"service": sta.Service, "listed": listed[sta.Service], "servers": sta.Servers, "busy": sta.Busy, "waiting": sta.Waiting, "in-time": sta.InTime,
+			"asked": ctl.asked[sta.Service], "calls": sta.Calls, "pieces": sta.Pieces, "room": int(100 * sta.Room), "no-room": sta.NoRoom,
+			"slow": math.Round(100*sta.Slow) / 100, "jobs": ctl.desk.Jobs(),
 		})
 	}
+	clear(ctl.asked)
 }
 
 // woke drops what the process believed before it stood still. Others have
@@ -148,6 +157,7 @@
 	if desk := ctl.mem.Desk(now); desk != ctl.deskAt {
 		ctl.jou.Note("desk-moved", lines.Fields{"from": ctl.deskAt, "to": desk})
 		ctl.deskAt = desk
+		clear(ctl.asked)
 	}
 	ctl.doubt(now)
 	ctl.takeOver(now)
--- a/io/edge/events.go
+++ b/io/edge/events.go
@@ -217,7 +217,7 @@
 		}
 		ctl.spread(now, news, evt.from)
 	case mesh.Submit:
-		ctl.desk.Submit(now, msg.Spec)
+		ctl.submit(now, msg.Spec)
 	case mesh.Retry:
 		ctl.retry(now, msg.Spec, msg.Outcome, msg.InputsGone)
 	case mesh.Adopt:
--- a/io/edge/handover.go
+++ b/io/edge/handover.go
@@ -33,7 +33,17 @@
 		return
 	}
 	wai.desk = ctl.set.Told
-	ctl.desk.Submit(now, wai.spec)
+	ctl.submit(now, wai.spec)
+}
+
+// submit takes a request in at this instance, which forms its calls.
+func (ctl *Control) submit(now time.Time, spc batch.Spec) {
+	for num, stg := range spc.Stages {
+		if num < len(spc.Pieces) {
+			ctl.asked[stg.Service] += spc.Pieces[num]
+		}
+	}
+	ctl.desk.Submit(now, spc)
 }
 
 type evWithdraw struct{ id string }
@@ -110,7 +120,7 @@
 // retry goes on with a job's results, or begins anew where it isn't known.
 func (ctl *Control) retry(now time.Time, spc batch.Spec, how place.Outcome, inputsGone bool) {
 	if !ctl.desk.Retry(now, spc.Key, how, inputsGone) {
-		ctl.desk.Submit(now, spc)
+		ctl.submit(now, spc)
 	}
 }
 
