Lines name who forms a request's calls, and whose call failed

Cause: a request that is lost with its instance while it waits for results had no line there; of its calls the forming instance writes 60 a second of some 240; and the line of a failed call named no request. Change: request-submitted at each hand-over, with the forming instance; the requests in stage-call-failed. Trace takes the forming instance from there. Red: TestLinesNameWhoFormsTheCalls and TestFailedCallNamesItsRequests; trace showed the pools of an instance that hadn't formed the calls. Cost: one line a request with stages, about 4 a second and instance there.

--- a/cmd/lovagestream/draw.go
+++ b/cmd/lovagestream/draw.go
@@ -70,7 +70,7 @@
 				fai.how = endDenied
 			}
 			ended[id] = fai
-		case "verdict", "first-event", "send-failed", "request-sent":
+		case "request-submitted", "verdict", "first-event", "send-failed", "request-sent":
 			if old, have := open[id]; !have || fai.at.After(old.at) {
 				open[id] = fai
 			}
--- a/cmd/lovagestream/story.go
+++ b/cmd/lovagestream/story.go
@@ -35,6 +35,9 @@
 	// instance began anew before it wrote an end.
 	unplaced  bool
 	restarted time.Time
+	// desk is the address of the instance that formed its calls at last, if a
+	// line tells.
+	desk string
 	// servers and instances had to do with it, forming made its calls.
 	servers   map[string]bool
 	instances map[string]bool
@@ -83,6 +86,8 @@
 		switch lin.kind {
 		case "stage-call":
 			tal.forming[lin.from] = true
+		case "request-submitted":
+			tal.desk, _ = lin.fie["desk"].(string)
 		case "verdict":
 			tal.unplaced = lin.fie["word"] != "placed"
 		case "request-refused":
@@ -98,7 +103,7 @@
 // taken are kinds of lines that only the instance writes which has the request
 // from its caller.
 var taken = map[string]bool{
-	"verdict": true, "first-event": true, "send-failed": true, "request-sent": true,
+	"request-submitted": true, "verdict": true, "first-event": true, "send-failed": true, "request-sent": true,
 	"request-served": true, "request-refused": true, "request-failed": true,
 }
 
@@ -109,30 +114,23 @@
 // name: the next start of a request's instance that wrote no end, which comes
 // late where the power was off, and the instance that formed its calls.
 func (tal *tale) lookBeyond(all []logLine) {
-	names := map[string]string{}
-	var desk logLine
 	over := false
 	for num := range all {
 		lin := &all[num]
 		over = over || ends[lin.kind] && lin.about(tal.id)
-		switch {
-		case lin.kind == "start":
-			if txt, ok := lin.fie["told"].(string); ok {
-				names[txt] = lin.from
-			}
-			if lin.from == tal.taker && lin.at.After(tal.ended) && (tal.restarted.IsZero() || lin.at.Before(tal.restarted)) {
-				tal.restarted = lin.at
-			}
-		case lin.kind == "desk-moved" && lin.from == tal.taker && !lin.at.After(tal.ended) && lin.at.After(desk.at):
-			desk = *lin
+		if lin.kind != "start" {
+			continue
+		}
+		if tal.desk != "" && lin.fie["told"] == tal.desk {
+			tal.forming[lin.from] = true
+		}
+		if lin.from == tal.taker && lin.at.After(tal.ended) && (tal.restarted.IsZero() || lin.at.Before(tal.restarted)) {
+			tal.restarted = lin.at
 		}
 	}
 	if over {
 		tal.restarted = time.Time{}
 	}
-	if txt, ok := desk.fie["to"].(string); ok && names[txt] != "" {
-		tal.forming[names[txt]] = true
-	}
 }
 
 // beliefs are kinds of lines on an instance itself.
--- a/cmd/lovagestream/trace_test.go
+++ b/cmd/lovagestream/trace_test.go
@@ -41,12 +41,14 @@
 func TestTraceBringsTheCause(t *testing.T) {
 	dir := t.TempDir()
 	data := sections(t, "testdata/stories.txt")
-	one, two := filepath.Join(dir, "entry-1.log"), filepath.Join(dir, "forming.log")
-	require.NoError(t, os.WriteFile(one, []byte(data["entry-1.log"]), 0o600))
-	require.NoError(t, os.WriteFile(two, []byte(data["forming.log"]), 0o600))
+	var files []string
+	for _, name := range []string{"entry-1.log", "forming.log", "beside.log"} {
+		files = append(files, filepath.Join(dir, name))
+		require.NoError(t, os.WriteFile(files[len(files)-1], []byte(data[name]), 0o600))
+	}
 	for _, id := range []string{"r1", "r2", "r3"} {
 		var out, errs bytes.Buffer
-		require.Equal(t, exitOK, run([]string{"trace", id, one, two}, &out, &errs), errs.String())
+		require.Equal(t, exitOK, run(append([]string{"trace", id}, files...), &out, &errs), errs.String())
 		for _, want := range strings.Split(strings.TrimSpace(data[id+" has"]), "\n") {
 			require.Regexp(t, want, out.String(), id)
 		}
--- a/io/edge/calls.go
+++ b/io/edge/calls.go
@@ -83,7 +83,7 @@
 		cal.gau.Took("stage-call", ask.Server.Service, cal.clk.Now().Sub(begun))
 		cal.cut(ask.Number)
 		if err != nil {
-			cal.jou.Note("stage-call-failed", lines.Fields{"call": ask.Number, "server": ask.Server.ID, "error": err.Error()})
+			cal.jou.Note("stage-call-failed", lines.Fields{"call": ask.Number, "server": ask.Server.ID, "error": err.Error(), "ids": ids(ask.Items)})
 		}
 		cal.ctl.post(evCallEnded{number: ask.Number, results: results, how: how})
 		return nil
--- a/io/edge/control_test.go
+++ b/io/edge/control_test.go
@@ -64,6 +64,21 @@
 	return table.New(num, nil, []*table.Service{{Name: "m", Model: &table.Model{Slots: 8, Memory: 1 << 20}}}, nil, table.Limits{}), nil
 }
 
+// linesOf returns the lines of a kind that a control wrote to an output so far.
+func linesOf(t *testing.T, ctl *Control, out *bytes.Buffer, kind string) []string {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	require.NoError(t, ctl.jou.Run(ctx))
+	var got []string
+	for _, lin := range strings.Split(out.String(), "\n") {
+		if strings.Contains(lin, `"msg":"`+kind+`"`) {
+			got = append(got, lin)
+		}
+	}
+	return got
+}
+
 func newControl(t *testing.T) (*Control, *fakeLinks) {
 	t.Helper()
 	grp := group.New(context.Background())
@@ -157,6 +172,46 @@
 	require.Empty(t, ctl.waiters)
 }
 
+// An instance loses power while a request of its caller waits for results. Of
+// the request it had written nothing, and the instance that forms the calls
+// writes only a part of them in a burst. The line of its hand-over is the one
+// that always tells that it was there, and which instance formed its calls; after
+// that one died, another line names the next.
+func TestLinesNameWhoFormsTheCalls(t *testing.T) {
+	ctl, lnk := newControl(t)
+	var out bytes.Buffer
+	ctl.jou = lines.New(&out, clock.System{})
+	known(ctl)
+	ctl.do(evLinked{mem: member.Member{Address: "a", Zone: "z", Born: 1, Share: 400}}, evGot{from: "a", msg: mesh.Beat{Beat: member.Beat{Ready: true}}})
+	ctl.duties(ctl.clk.Now())
+	now := ctl.clk.Now()
+	spec := batch.Spec{Key: batch.Key{Owner: "b", ID: "r1"}, Service: "m", Prompt: 10, Arrived: now, Aim: now.Add(time.Second), Give: now.Add(4 * time.Second), End: now.Add(9 * time.Second)}
+	ctl.do(evSubmit{spec: spec, out: make(chan batch.Verdict, 1)})
+	got := linesOf(t, ctl, &out, "request-submitted")
+	require.Len(t, got, 1)
+	require.Contains(t, got[0], `"id":"r1"`)
+	require.Contains(t, got[0], `"desk":"a"`)
+	lnk.down["a"] = true
+	ctl.do(evUnlinked{address: "a"})
+	got = linesOf(t, ctl, &out, "request-submitted")
+	require.Len(t, got, 2)
+	require.Contains(t, got[1], `"desk":"b"`)
+}
+
+// A call fails whose own line was left out for want of budget. Without the
+// requests in the line of the failure, none of them can be told of it.
+func TestFailedCallNamesItsRequests(t *testing.T) {
+	ctl, _ := newControl(t)
+	var out bytes.Buffer
+	ctl.jou = lines.New(&out, clock.System{})
+	ctl.calls.dia, ctl.calls.jou = mute{}, ctl.jou
+	ctl.calls.run(batch.Call{Number: 7, Server: stock.Entry{ID: "p1", Service: "p"}, Items: []batch.Item{{ID: "r1", Piece: 0}, {ID: "r1", Piece: 1}, {ID: "r2"}}})
+	<-ctl.que
+	got := linesOf(t, ctl, &out, "stage-call-failed")
+	require.Len(t, got, 1)
+	require.Contains(t, got[0], `"ids":["r1","r2"]`)
+}
+
 // staged decodes a configuration with one pool.
 type staged struct{}
 
@@ -192,15 +247,7 @@
 	ctl.do(evSubmit{spec: spec("b", "r1", 4), out: make(chan batch.Verdict, 1)}, evGot{from: "a", msg: mesh.Submit{Spec: spec("a", "r2", 3)}})
 	ctl.states(ctl.clk.Now())
 	ctl.states(ctl.clk.Now())
-	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
-	require.NoError(t, ctl.jou.Run(ctx))
-	var states []string
-	for _, lin := range strings.Split(out.String(), "\n") {
-		if strings.Contains(lin, `"msg":"pool-state"`) {
-			states = append(states, lin)
-		}
-	}
+	states := linesOf(t, ctl, &out, "pool-state")
 	require.Len(t, states, 2)
 	require.Contains(t, states[0], `"asked":7,`, "pieces, of own and others' callers")
 	require.Contains(t, states[0], `"listed":2,`)
--- a/io/edge/handover.go
+++ b/io/edge/handover.go
@@ -30,12 +30,24 @@
 func (ctl *Control) hand(now time.Time, wai *waiter, desk string) {
 	wai.desk = desk
 	if desk != ctl.set.Told && ctl.lnk.Send(desk, mesh.Submit{Spec: wai.spec}) {
+		ctl.noteSubmitted(wai)
 		return
 	}
 	wai.desk = ctl.set.Told
+	ctl.noteSubmitted(wai)
 	ctl.submit(now, wai.spec)
 }
 
+// noteSubmitted says who forms a request's calls. Until there is a verdict,
+// nothing else tells of a request that is lost with this instance.
+func (ctl *Control) noteSubmitted(wai *waiter) {
+	pieces := 0
+	for _, num := range wai.spec.Pieces {
+		pieces += num
+	}
+	ctl.jou.Note("request-submitted", lines.Fields{"id": wai.spec.Key.ID, "desk": wai.desk, "service": wai.spec.Service, "pieces": pieces})
+}
+
 // submit takes a request in at this instance, which forms its calls.
 func (ctl *Control) submit(now time.Time, spc batch.Spec) {
 	for num, stg := range spc.Stages {
