--- a/io/lines/lines_test.go
+++ b/io/lines/lines_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -72,10 +74,46 @@
 	require.LessOrEqual(t, strings.Count(out.String(), `"flood"`), burstLines+1)
 }
 
-// What a line costs the goroutine that writes it.
+// What a line costs the goroutine that notes it: dropped, and taken.
 func BenchmarkNote(b *testing.B) {
 	wri := New(&bytes.Buffer{}, clock.System{})
 	for b.Loop() {
 		wri.Note("request-served", Fields{"id": "9c41d07be2a35f68", "status": 200, "took": 12})
 	}
 }
+
+func BenchmarkNoteTaken(b *testing.B) {
+	wri := New(io.Discard, clock.System{})
+	for b.Loop() {
+		wri.Note("request-served", usual())
+		wri.buckets["request-served"].left = burstLines
+		<-wri.que
+	}
+}
+
+// usual has as many fields as the last line of a request.
+func usual() Fields {
+	return Fields{
+		"id": "9c41d07be2a35f68", "status": 200, "took": 12, "reason": "answered", "version": 31, "route": "r-4nf9jb2",
+		"service": "bahu75a", "sent": 1, "priority": 0, "urgency": 1, "account": "pule560", "server": "i-1465a8eca8",
+	}
+}
+
+// What a line costs the process besides: its text, and its way into a pipe that
+// somebody reads.
+func BenchmarkWritten(b *testing.B) {
+	rdr, out, err := os.Pipe()
+	require.NoError(b, err)
+	grp := group.New(context.Background())
+	grp.Go(func(context.Context) error {
+		_, err := io.Copy(io.Discard, rdr)
+		return err
+	})
+	wri := New(out, clock.System{})
+	lin := line{at: time.Now(), kind: "request-served", fie: usual()}
+	for b.Loop() {
+		wri.put(lin)
+	}
+	require.NoError(b, out.Close())
+	require.NoError(b, grp.Wait())
+}
