--- a/io/edge/handover.go
+++ b/io/edge/handover.go
@@ -30,10 +30,32 @@
 func (ctl *Control) hand(now time.Time, wai *waiter, desk string) {
 	wai.desk = desk
 	if desk != ctl.set.Told && ctl.lnk.Send(desk, mesh.Submit{Spec: wai.spec}) {
+		ctl.noteSubmitted(wai)
 		return
 	}
 	wai.desk = ctl.set.Told
-	ctl.desk.Submit(now, wai.spec)
+	ctl.noteSubmitted(wai)
+	ctl.submit(now, wai.spec)
+}
+
+// noteSubmitted says who forms a request's calls. Until there is a verdict,
+// nothing else tells of a request that is lost with this instance.
+func (ctl *Control) noteSubmitted(wai *waiter) {
+	pieces := 0
+	for _, num := range wai.spec.Pieces {
+		pieces += num
+	}
+	ctl.jou.Note("request-submitted", lines.Fields{"id": wai.spec.Key.ID, "desk": wai.desk, "service": wai.spec.Service, "pieces": pieces})
+}
+
+// submit takes a request in at this instance, which forms its calls.
+func (ctl *Control) submit(now time.Time, spc batch.Spec) {
+	for num, stg := range spc.Stages {
+		if num < len(spc.Pieces) {
+			ctl.asked[stg.Service] += spc.Pieces[num]
+		}
+	}
+	ctl.desk.Submit(now, spc)
 }
 
 type evWithdraw struct{ id string }
@@ -110,7 +132,7 @@
 // retry goes on with a job's results, or begins anew where it isn't known.
 func (ctl *Control) retry(now time.Time, spc batch.Spec, how place.Outcome, inputsGone bool) {
 	if !ctl.desk.Retry(now, spc.Key, how, inputsGone) {
-		ctl.desk.Submit(now, spc)
+		ctl.submit(now, spc)
 	}
 }
 
