Own path: end admission before readiness says that the instance stops

Cause: TestPlannedStopCutsNothingOff failed once beside other work. The instance stopped being ready before it refused, so a request sent in between was admitted and held the stop up for its 30 s. With 0.2 s put between the two the test fails each time as it did; with admission ended first it passes with them.

--- a/io/front/front.go
+++ b/io/front/front.go
@@ -135,12 +135,17 @@
 	})
 }
 
+// EndAdmission refuses requests from now on.
+func (srv *Server) EndAdmission() {
+	srv.mu.Lock()
+	defer srv.mu.Unlock()
+	srv.stopping = true
+}
+
 // Drain stops admission at once and waits until the requests in progress
 // have ended or the context does.
 func (srv *Server) Drain(ctx context.Context) error {
-	srv.mu.Lock()
-	srv.stopping = true
-	srv.mu.Unlock()
+	srv.EndAdmission()
 	idle := make(chan struct{})
 	grp := group.New(context.WithoutCancel(ctx))
 	grp.Go(func(context.Context) error {
--- a/io/serve/serve.go
+++ b/io/serve/serve.go
@@ -246,6 +246,9 @@
 	nod.log.Info("Stopping.", nil)
 	dctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), nod.set.Grace())
 	defer cancel()
+	// Before readiness says so: who sees that the instance stops must not be let
+	// in any more, to keep it from ending.
+	nod.frt.EndAdmission()
 	if err := nod.lop.Post(dctx, core.NewStop()); err != nil {
 		return err
 	}
--- a/io/serve/stop_test.go
+++ b/io/serve/stop_test.go
@@ -49,8 +49,8 @@
 	<-lis.Held()
 	grp.Go(func(context.Context) error { return nod.Stop() })
 	select {
-	case <-done:
-		require.Fail(t, "the instance ended under a request")
+	case err := <-done:
+		require.Fail(t, "the instance ended under a request", "error %v", err)
 	case <-time.After(time.Second):
 	}
 	lis.Release()
