--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -98,6 +98,11 @@
 	// strangers are servers whose address answered for another, by the
 	// revision of their entry.
 	strangers map[string]int64
+	// live are the servers that can be used, servers the same by service, left
+	// those that can't; changed makes all three.
+	live    []stock.Entry
+	servers map[string][]stock.Entry
+	left    map[string]bool
 	waiters   map[string]*waiter
 	deskAt    string
 	// dark are zones that went silent.
@@ -152,6 +157,7 @@
 	ctl.mem.Seeds(now, set.Seeds)
 	ctl.duty.Store(&follow.Duty{Reads: true, Crowd: 1})
 	ctl.stats.Store(ctl.state(now))
+	ctl.survey()
 	ctl.publish(now)
 	return ctl
 }
@@ -202,18 +208,10 @@
 	ctl.stale = false
 	live, known := ctl.mem.Count(now)
 	viw := &entry.View{
-		Table: ctl.tab, Servers: map[string][]stock.Entry{}, Left: map[string]bool{}, Verified: ctl.verified, Stopping: ctl.stopping,
+		Table: ctl.tab, Servers: ctl.servers, Left: ctl.left, Verified: ctl.verified, Stopping: ctl.stopping,
 		Closing: ctl.closingAt, Marks: ctl.marks, Live: live, Known: known, Dark: ctl.dark,
 		Repeats: entry.RepeatLimits{Ratio: ctl.set.RepeatRatio, Slack: ctl.set.RepeatSlack, Window: ctl.set.RepeatWindow},
 	}
-	for _, kno := range ctl.book.All() {
-		if kno.Gone || kno.Entry.Leaving || ctl.strange(kno) {
-			viw.Left[kno.Entry.ID] = true
-		}
-	}
-	for _, ent := range ctl.usable() {
-		viw.Servers[ent.Service] = append(viw.Servers[ent.Service], ent)
-	}
 	ctl.view.Store(viw)
 }
 
@@ -222,6 +220,23 @@
 	return have && kno.Revision <= rev
 }
 
+// survey makes what views and the forming of calls need of all servers. Views
+// are made many times a second, also where no server changed: made anew in each,
+// the lists of 3,000 servers took more of a small instance's processor than its
+// requests.
+func (ctl *Control) survey() {
+	ctl.live = ctl.usable()
+	ctl.servers, ctl.left = map[string][]stock.Entry{}, map[string]bool{}
+	for _, kno := range ctl.book.All() {
+		if kno.Gone || kno.Entry.Leaving || ctl.strange(kno) {
+			ctl.left[kno.Entry.ID] = true
+		}
+	}
+	for _, ent := range ctl.live {
+		ctl.servers[ent.Service] = append(ctl.servers[ent.Service], ent)
+	}
+}
+
 // usable lists live servers, without those whose address is another's now.
 func (ctl *Control) usable() []stock.Entry {
 	all := ctl.book.Live()
@@ -237,9 +252,10 @@
 // changed takes new servers or a new configuration into use.
 func (ctl *Control) changed(now time.Time) {
 	ctl.digest = ctl.book.Digest()
+	ctl.survey()
 	ctl.publish(now)
 	if ctl.tab != nil {
-		ctl.desk.Configure(now, ctl.tab, ctl.usable())
+		ctl.desk.Configure(now, ctl.tab, ctl.live)
 	}
 }
 
--- a/io/edge/gauges.go
+++ b/io/edge/gauges.go
@@ -19,7 +19,7 @@
 
 // state makes the stats of a moment.
 func (ctl *Control) state(now time.Time) *stats {
-	sta := &stats{servers: len(ctl.usable()), waiters: len(ctl.waiters), jobs: ctl.desk.Jobs(), desk: ctl.deskAt, reads: ctl.Duty().Reads, storeAge: -1, verified: ctl.verified}
+	sta := &stats{servers: len(ctl.live), waiters: len(ctl.waiters), jobs: ctl.desk.Jobs(), desk: ctl.deskAt, reads: ctl.Duty().Reads, storeAge: -1, verified: ctl.verified}
 	sta.live, sta.known = ctl.mem.Count(now)
 	if ctl.tab != nil {
 		sta.version = ctl.tab.Version()
