Instances ask for what differs instead of being told whole lists

Cause (trial before): each end of each new link told all servers, members and its configuration; peers whose digest differed were told all again, and hubs named all members to all every ten seconds. What fills the links delays beats, so links are cut and the lists are told once more.

Now words on servers are passed on once, gathered for a tick, to hubs and the own zone. Beats carry digest and version; who differs asks one peer at a time, with sums of 64 parts, and is told only the parts that differ, at 512 KB/s at most. Configurations are asked for and sent compressed. Members: newcomers are named in their zone, digests every ten seconds, differences on request. The digest counts no graves: they are forgotten by each in its own time, so that equal books had different digests for ever.

Servers are taken into use at most as often as keeps that under a tenth of a processor: 600 words in 20 ms cost 600 surveys of all servers.

Tests: TestUnlikePeersAreTold asked for the whole list to be told to a peer that differs, which is the fault; TestUnlikePeersAreAsked holds the same times and that only what differs is told. TestConfigurationNeverReverts looked for the document sent unasked; it now looks for the word in the next beats and the document when asked.

--- a/core/member/hubs.go
+++ b/core/member/hubs.go
@@ -42,6 +42,23 @@
 // IsHub reports whether a member is one of those that all link to.
 func (set *Set) IsHub(now time.Time, address string) bool { return set.hubs(now)[address] }
 
+// Audience returns whom this instance tells what it learns first: linked hubs of
+// all zones, and the other linked members of its own.
+func (set *Set) Audience(now time.Time) (hubs, others []string) {
+	all := set.hubs(now)
+	for _, inf := range set.links() {
+		switch {
+		case all[inf.Address]:
+			hubs = append(hubs, inf.Address)
+		case inf.Zone == set.self.Zone:
+			others = append(others, inf.Address)
+		}
+	}
+	sort.Strings(hubs)
+	sort.Strings(others)
+	return hubs, others
+}
+
 // Dial returns addresses to connect to now.
 func (set *Set) Dial(now time.Time) []string {
 	var out []string
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -8,6 +8,8 @@
 import (
 	"sort"
 	"time"
+
+	"lovagestream/core/sums"
 )
 
 // Member is one entry instance. Its fields are exported because a decoder
@@ -244,6 +246,50 @@
 	return out
 }
 
+// Sums are those of all members that are worth naming, each with its start.
+func (set *Set) Sums() *sums.Sums {
+	out := &sums.Sums{}
+	out.Add(set.self.Address, set.self.Born)
+	for _, inf := range set.others {
+		if inf.Born != 0 {
+			out.Add(inf.Address, inf.Born)
+		}
+	}
+	return out
+}
+
+// Unlike returns the members of the parts in which a peer's sums differ, and
+// the parts in which they don't.
+func (set *Set) Unlike(told []uint64) (list []Member, same sums.Mask) {
+	mas := set.Sums().Differ(told)
+	for _, mem := range set.List() {
+		if mas.Has(mem.Address) {
+			list = append(list, mem)
+		}
+	}
+	return list, ^mas
+}
+
+// Confirm notes that a hub knows the same members in some parts, and those that
+// it named: they are not forgotten. A hub itself is linked to all and believes
+// no other on it, so that no two keep a dead member known between them.
+func (set *Set) Confirm(now time.Time, hub string, same sums.Mask, named []Member) {
+	hubs := set.hubs(now)
+	if hubs[set.self.Address] || !hubs[hub] {
+		return
+	}
+	for adr, inf := range set.others {
+		if same.Has(adr) {
+			inf.known = now
+		}
+	}
+	for _, mem := range named {
+		if inf := set.others[mem.Address]; inf != nil && inf.Born == mem.Born {
+			inf.known = now
+		}
+	}
+}
+
 // elder orders members for a duty: the larger first, since the small ones have
 // processor time for their own traffic only; then those that run longest, so
 // that a member which comes or comes back takes nothing over.
--- a/core/stock/stock.go
+++ b/core/stock/stock.go
@@ -4,11 +4,10 @@
 package stock
 
 import (
-	"encoding/binary"
 	"sort"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"lovagestream/core/sums"
 )
 
 // Entry is one backend server as it was published. Its fields are exported
@@ -53,6 +52,9 @@
 // Book holds the latest word on each server.
 type Book struct {
 	byID map[string]*Known
+	// sums are those of the words on servers that are not gone: graves are
+	// forgotten by each holder in its own time.
+	sums sums.Sums
 	// buried is when a removal was heard.
 	buried map[string]time.Time
 	// held are removals that wait, because the store was down a moment ago and
@@ -105,13 +107,25 @@
 	}
 	delete(bok.buried, got.Entry.ID)
 	delete(bok.held, got.Entry.ID)
-	bok.byID[got.Entry.ID] = &got
+	bok.set(&got)
 	if old != nil && got.Entry.Born > old.Entry.Born && old.Entry.Born != 0 {
 		return Reborn
 	}
 	return Fresh
 }
 
+// set replaces what is known of a server, and keeps the sums.
+func (bok *Book) set(kno *Known) {
+	id := kno.Entry.ID
+	if old := bok.byID[id]; old != nil && !old.Gone {
+		bok.sums.Drop(id, old.Revision)
+	}
+	if !kno.Gone {
+		bok.sums.Add(id, kno.Revision)
+	}
+	bok.byID[id] = kno
+}
+
 func late(old, got *Known) bool {
 	if got.Entry.Born != old.Entry.Born {
 		return got.Entry.Born != 0 && got.Entry.Born < old.Entry.Born
@@ -124,7 +138,7 @@
 	if old != nil {
 		grv.Entry = old.Entry
 	}
-	bok.byID[got.Entry.ID] = grv
+	bok.set(grv)
 	bok.buried[got.Entry.ID] = now
 	delete(bok.held, got.Entry.ID)
 	if old == nil || old.Gone {
@@ -189,19 +203,27 @@
 	return out
 }
 
-// Digest is equal for books that hold the same words; the order in which they
-// came doesn't matter.
-func (bok *Book) Digest() uint64 {
-	var sum uint64
+// Digest is equal for books that hold the same words on servers that are not
+// gone; the order in which they came doesn't matter.
+func (bok *Book) Digest() uint64 { return bok.sums.Digest() }
+
+// Sums are what a peer needs to find where its words differ.
+func (bok *Book) Sums() []uint64 { return bok.sums.List() }
+
+// Unlike returns the words, graves too, of the parts in which a peer's sums
+// differ.
+func (bok *Book) Unlike(told []uint64) []Known {
+	mas := bok.sums.Differ(told)
+	if mas == 0 {
+		return nil
+	}
+	var out []Known
 	for id, kno := range bok.byID {
-		dig := xxhash.New()
-		_, _ = dig.WriteString(id)
-		var rev [8]byte
-		binary.LittleEndian.PutUint64(rev[:], uint64(kno.Revision))
-		_, _ = dig.Write(rev[:])
-		sum += dig.Sum64()
-	}
-	return sum
+		if mas.Has(id) {
+			out = append(out, *kno)
+		}
+	}
+	return out
 }
 
 // Len counts servers and graves.
--- /dev/null
+++ b/core/sums/sums_test.go
@@ -0,0 +1,41 @@
+package sums
+
+import (
+	"strconv"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Holders of equal sets see no difference, however they came by them; one word
+// more, fewer or other shows in its own part only.
+func TestSumsShowWhereSetsDiffer(t *testing.T) {
+	one, two := &Sums{}, &Sums{}
+	require.Zero(t, one.Differ(two.List()))
+	require.Zero(t, one.Digest())
+	for num := range 500 {
+		one.Add(strconv.Itoa(num), int64(num))
+		two.Add(strconv.Itoa(499-num), int64(499-num))
+	}
+	require.Equal(t, one.Digest(), two.Digest())
+	require.Zero(t, one.Differ(two.List()))
+	require.Equal(t, All, one.Differ(nil), "an empty set lacks all parts")
+	one.Drop("7", 7)
+	mas := one.Differ(two.List())
+	require.Equal(t, 1, mas.Count())
+	require.True(t, mas.Has("7"))
+	one.Add("7", 8)
+	require.NotEqual(t, one.Digest(), two.Digest())
+	require.Equal(t, mas, two.Differ(one.List()))
+	one.Drop("7", 8)
+	one.Add("7", 7)
+	require.Equal(t, one.Digest(), two.Digest())
+}
+
+// Sums of another number of parts, as a broken or foreign peer tells them, are
+// those of an empty set: it is told all.
+func TestForeignSums(t *testing.T) {
+	one := &Sums{}
+	one.Add("a", 1)
+	require.Equal(t, one.Differ(nil), one.Differ([]uint64{1, 2, 3}))
+}
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -45,16 +45,6 @@
 	// lapseTime is how long after an outage of the store entries that lapsed
 	// may take to come back.
 	lapseTime = 2200 * time.Millisecond
-	// unlikeFor is how long a peer's knowledge of servers may differ before it is
-	// told all: news of one change takes a few milliseconds.
-	unlikeFor = 700 * time.Millisecond
-	// unlikeEvery is how often it is told again if it still differs.
-	unlikeEvery = 4 * time.Second
-	// forwardTo is how many peers a word heard from a peer is passed on to.
-	forwardTo = 6
-	// behindFor is how long a peer may report an older configuration before it
-	// is sent the newer.
-	behindFor = 300 * time.Millisecond
 )
 
 // event is something that happened; the control thread applies it.
@@ -99,16 +89,18 @@
 	// revision of their entry.
 	strangers map[string]int64
 	// live are the servers that can be used, servers the same by service, left
-	// those that can't; changed makes all three.
+	// those that can't; survey makes all three. Lists are never changed once
+	// made: views hold them.
 	live    []stock.Entry
 	servers map[string][]stock.Entry
 	left    map[string]bool
-	waiters   map[string]*waiter
-	deskAt    string
+	// dirty says that servers or the configuration changed since surveyedAt.
+	dirty      bool
+	surveyedAt time.Time
+	waiters    map[string]*waiter
+	deskAt     string
 	// dark are zones that went silent.
 	dark map[string]bool
-	// behind is since when a peer reports an older configuration.
-	behind map[string]time.Time
 	// frees are results to give up, by maker's address.
 	frees map[string][]string
 
@@ -125,14 +117,12 @@
 	readServers bool
 	ticked      time.Time
 	boot        time.Duration
-	// digest is that of the book; unlike is since when a peer's differs.
-	digest    uint64
-	unlike    map[string]time.Time
-	membersAt time.Time
-	beatAt    time.Time
-	statedAt  time.Time
-	storeAt   time.Time
-	storeDown bool
+	news        *news
+	membersAt   time.Time
+	beatAt      time.Time
+	statedAt    time.Time
+	storeAt     time.Time
+	storeDown   bool
 	// storeBack is when the store last answered after an outage.
 	storeBack time.Time
 	stale     bool
@@ -150,14 +140,14 @@
 		set: set, clk: clk, dec: dec, jou: jou, que: make(chan event, queueLength),
 		mem:  member.NewSet(member.Member{Address: set.Told, Zone: set.Zone, Born: born, Share: set.Share}),
 		book: stock.NewBook(), repeats: batch.NewRepeats(set.RepeatRatio, set.RepeatSlack, set.RepeatWindow),
-		strangers: map[string]int64{}, waiters: map[string]*waiter{}, behind: map[string]time.Time{}, unlike: map[string]time.Time{}, relinked: map[string]bool{}, frees: map[string][]string{},
+		strangers: map[string]int64{}, waiters: map[string]*waiter{}, news: newNews(), relinked: map[string]bool{}, frees: map[string][]string{},
 		verified: true, ticked: now, boot: bootTime(), deskAt: set.Told, reread: func() {},
 	}
 	ctl.desk = batch.New(ctl, ctl.repeats)
 	ctl.mem.Seeds(now, set.Seeds)
 	ctl.duty.Store(&follow.Duty{Reads: true, Crowd: 1})
 	ctl.stats.Store(ctl.state(now))
-	ctl.survey()
+	ctl.survey(now)
 	ctl.publish(now)
 	return ctl
 }
@@ -173,13 +163,26 @@
 			return nil
 		case evt := <-ctl.que:
 			evt.apply(ctl, ctl.clk.Now())
-			if ctl.stale {
-				ctl.publish(ctl.clk.Now())
-			}
+			ctl.settle(ctl.clk.Now())
 		}
 	}
 }
 
+// surveyCost is what a survey may take for each server before the next, some
+// ten times what it costs: in a change of many servers, one word each, no more
+// than a tenth of the processor goes into lists.
+const surveyCost = 20 * time.Microsecond
+
+// settle takes what changed into use. Words on servers come in rushes, when many
+// start or leave; a survey for each of 600 words took two seconds of a
+// processor, and beats came late.
+func (ctl *Control) settle(now time.Time) {
+	pause := time.Duration(len(ctl.live)) * surveyCost
+	if ctl.stale || ctl.dirty && now.Sub(ctl.surveyedAt) >= pause {
+		ctl.publish(now)
+	}
+}
+
 // Tick posts the passing of time until the context ends.
 func (ctl *Control) Tick(ctx context.Context) error {
 	ctl.clk.Every(ctx, tickPeriod, func(time.Time) {
@@ -203,9 +206,13 @@
 	return viw.Table != nil && len(viw.Servers) > 0 && viw.Verified && !viw.Stopping
 }
 
-// publish makes a view of the state.
+// publish makes a view of the state, and takes new servers or a new
+// configuration into use.
 func (ctl *Control) publish(now time.Time) {
 	ctl.stale = false
+	if ctl.dirty {
+		ctl.survey(now)
+	}
 	live, known := ctl.mem.Count(now)
 	viw := &entry.View{
 		Table: ctl.tab, Servers: ctl.servers, Left: ctl.left, Verified: ctl.verified, Stopping: ctl.stopping,
@@ -224,7 +231,8 @@
 // are made many times a second, also where no server changed: made anew in each,
 // the lists of 3,000 servers took more of a small instance's processor than its
 // requests.
-func (ctl *Control) survey() {
+func (ctl *Control) survey(now time.Time) {
+	ctl.dirty, ctl.surveyedAt = false, now
 	ctl.live = ctl.usable()
 	ctl.servers, ctl.left = map[string][]stock.Entry{}, map[string]bool{}
 	for _, kno := range ctl.book.All() {
@@ -235,6 +243,9 @@
 	for _, ent := range ctl.live {
 		ctl.servers[ent.Service] = append(ctl.servers[ent.Service], ent)
 	}
+	if ctl.tab != nil {
+		ctl.desk.Configure(now, ctl.tab, ctl.live)
+	}
 }
 
 // usable lists live servers, without those whose address is another's now.
@@ -249,14 +260,10 @@
 	return out
 }
 
-// changed takes new servers or a new configuration into use.
+// changed takes new servers or a new configuration into use at once.
 func (ctl *Control) changed(now time.Time) {
-	ctl.digest = ctl.book.Digest()
-	ctl.survey()
+	ctl.dirty = true
 	ctl.publish(now)
-	if ctl.tab != nil {
-		ctl.desk.Configure(now, ctl.tab, ctl.live)
-	}
 }
 
 // Submit hands a request over.
--- a/io/edge/duties.go
+++ b/io/edge/duties.go
@@ -40,6 +40,8 @@
 		ctl.calls.free(adr, handles)
 		delete(ctl.frees, adr)
 	}
+	ctl.passOn(now)
+	ctl.answer(now)
 	if now.Sub(ctl.beatAt) >= member.Period {
 		ctl.beatAt = now
 		ctl.beats(now)
@@ -100,7 +102,7 @@
 	if ctl.tab != nil {
 		bea.Version = ctl.tab.Version()
 	}
-	bea.Digest = ctl.digest
+	bea.Digest = ctl.book.Digest()
 	ctl.mem.SetBeat(bea)
 	return mesh.Beat{Beat: bea}
 }
@@ -119,7 +121,7 @@
 		ctl.lnk.Dial(adr)
 	}
 	if gone := ctl.book.Settle(now); len(gone) > 0 {
-		ctl.spread(now, gone, "")
+		ctl.spread(gone, "")
 	}
 	ctl.verify(now)
 	ctl.tellMembers(now)
@@ -128,21 +130,6 @@
 	ctl.stale = true
 }
 
-// membersPeriod is how often the hubs of a large fleet name all members to
-// those that link to them, who see few others.
-const membersPeriod = 10 * time.Second
-
-func (ctl *Control) tellMembers(now time.Time) {
-	if now.Sub(ctl.membersAt) < membersPeriod || !ctl.mem.Hub(now) {
-		return
-	}
-	ctl.membersAt = now
-	list := ctl.mem.List()
-	for _, adr := range ctl.mem.Peers() {
-		ctl.lnk.Send(adr, mesh.Members{List: list})
-	}
-}
-
 // duties works out who does what, from the members alone.
 func (ctl *Control) duties(now time.Time) {
 	if desk := ctl.mem.Desk(now); desk != ctl.deskAt {
--- a/io/edge/events.go
+++ b/io/edge/events.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"lovagestream/core/marks"
@@ -16,9 +15,7 @@
 
 func (evt evConfig) apply(ctl *Control, now time.Time) {
 	ctl.readConfig = true
-	if ctl.adopt(now, evt.doc, "store") {
-		ctl.tellConfig(ctl.mem.Peers())
-	}
+	ctl.adopt(now, evt.doc, "store")
 	ctl.verify(now)
 }
 
@@ -39,16 +36,12 @@
 	}
 	ctl.jou.Note("config-in-force", lines.Fields{"version": tab.Version(), "before": old, "from": from, "bytes": len(doc)})
 	ctl.tab, ctl.doc = tab, doc
+	// The next tick's beats tell the peers, who ask for it.
+	ctl.beatAt = time.Time{}
 	ctl.changed(now)
 	return true
 }
 
-func (ctl *Control) tellConfig(peers []string) {
-	for _, adr := range peers {
-		ctl.lnk.Send(adr, mesh.Config{Version: ctl.tab.Version(), Document: ctl.doc})
-	}
-}
-
 type evServers struct {
 	list  follow.Listing
 	whole bool
@@ -56,6 +49,7 @@
 
 func (evt evServers) apply(ctl *Control, now time.Time) {
 	ctl.readServers = ctl.readServers || evt.whole
+	newcomer := ctl.book.Len() == 0
 	for _, flt := range evt.list.Faults {
 		ctl.jou.Note("server-unreadable", lines.Fields{"error": flt.Error()})
 	}
@@ -75,7 +69,11 @@
 			news = append(news, kno)
 		}
 	}
-	ctl.spread(now, news, "")
+	ctl.dirty = ctl.dirty || len(news) > 0
+	if !newcomer {
+		// What a newcomer reads first the others know, or ask for.
+		ctl.spread(news, "")
+	}
 	ctl.verify(now)
 }
 
@@ -109,28 +107,6 @@
 	return got != stock.Overfull
 }
 
-// spread takes words into use and passes them on.
-func (ctl *Control) spread(now time.Time, news []stock.Known, from string) {
-	if len(news) == 0 {
-		return
-	}
-	ctl.changed(now)
-	if from != "" && !ctl.mem.Hub(now) {
-		// The hubs tell everybody.
-		return
-	}
-	peers := ctl.mem.Peers()
-	if from != "" && len(peers) > forwardTo {
-		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-		peers = peers[:forwardTo]
-	}
-	for _, adr := range peers {
-		if adr != from {
-			ctl.lnk.Send(adr, mesh.Servers{List: news})
-		}
-	}
-}
-
 type evStore struct{ err error }
 
 func (evt evStore) apply(ctl *Control, now time.Time) {
@@ -155,15 +131,7 @@
 	ctl.jou.Note("member-linked", lines.Fields{"member": evt.mem.Address, "zone": evt.mem.Zone, "born": evt.mem.Born})
 	ctl.mem.Linked(now, evt.mem)
 	ctl.relinked[evt.mem.Address] = true
-	adr := evt.mem.Address
-	ctl.lnk.Send(adr, ctl.beat(now))
-	ctl.lnk.Send(adr, mesh.Members{List: ctl.mem.List()})
-	if ctl.tab != nil {
-		ctl.tellConfig([]string{adr})
-	}
-	if ctl.book.Len() > 0 {
-		ctl.lnk.Send(adr, mesh.Servers{List: ctl.book.All()})
-	}
+	ctl.greet(now, evt.mem)
 	ctl.stale = true
 }
 
@@ -175,6 +143,7 @@
 func (evt evUnlinked) apply(ctl *Control, now time.Time) {
 	was := ctl.mem.Live(now, evt.address)
 	ctl.mem.Unlinked(now, evt.address)
+	ctl.news.forget(evt.address)
 	if was {
 		fie := lines.Fields{"member": evt.address}
 		if evt.cause != nil {
@@ -202,20 +171,17 @@
 	case mesh.Beat:
 		ctl.heard(now, evt.from, msg.Beat)
 	case mesh.Members:
-		ctl.mem.Learn(now, msg.List)
+		ctl.gotMembers(now, evt.from, msg)
+	case mesh.AskMembers:
+		ctl.tellUnlike(evt.from, msg.Sums)
 	case mesh.Config:
-		ctl.adopt(now, msg.Document, evt.from)
-		ctl.readConfig = ctl.readConfig || ctl.relinked[evt.from]
-		ctl.verify(now)
+		ctl.gotConfig(now, evt.from, msg)
+	case mesh.AskConfig:
+		ctl.tellConfig(evt.from, msg.Version)
 	case mesh.Servers:
-		ctl.readServers = ctl.readServers || ctl.relinked[evt.from]
-		var news []stock.Known
-		for _, kno := range msg.List {
-			if ctl.put(now, kno, evt.from) {
-				news = append(news, kno)
-			}
-		}
-		ctl.spread(now, news, evt.from)
+		ctl.gotServers(now, evt.from, msg)
+	case mesh.AskServers:
+		ctl.asks(now, evt.from, msg.Sums)
 	case mesh.Submit:
 		ctl.desk.Submit(now, msg.Spec)
 	case mesh.Retry:
@@ -235,42 +201,6 @@
 	}
 }
 
-// heard takes a beat in, and sends the configuration to a peer that has been
-// behind for a while: it may have missed the word of who read it.
-func (ctl *Control) heard(now time.Time, from string, bea member.Beat) {
-	ctl.mem.Heard(now, from, bea)
-	ctl.compare(now, from, bea.Digest)
-	if ctl.tab == nil || bea.Version >= ctl.tab.Version() {
-		delete(ctl.behind, from)
-		return
-	}
-	since, have := ctl.behind[from]
-	switch {
-	case !have:
-		ctl.behind[from] = now
-	case now.Sub(since) > behindFor:
-		ctl.behind[from] = now
-		ctl.tellConfig([]string{from})
-	}
-}
-
-// compare tells a peer all that is known of servers if it knows otherwise for a
-// while: it may have missed a word while links changed.
-func (ctl *Control) compare(now time.Time, from string, digest uint64) {
-	if digest == ctl.digest {
-		delete(ctl.unlike, from)
-		return
-	}
-	since, have := ctl.unlike[from]
-	switch {
-	case !have:
-		ctl.unlike[from] = now
-	case now.Sub(since) > unlikeFor:
-		ctl.unlike[from] = now.Add(unlikeEvery - unlikeFor)
-		ctl.lnk.Send(from, mesh.Servers{List: ctl.book.All()})
-	}
-}
-
 type evCrash struct {
 	msg mesh.Crash
 	own bool
--- a/io/mesh/message.go
+++ b/io/mesh/message.go
@@ -8,6 +8,7 @@
 	"lovagestream/core/member"
 	"lovagestream/core/place"
 	"lovagestream/core/stock"
+	"lovagestream/core/sums"
 	"lovagestream/core/table"
 	"lovagestream/io/mesh/wire"
 )
@@ -22,15 +23,35 @@
 type (
 	// Beat says that the sender runs.
 	Beat struct{ member.Beat }
-	// Members names instances.
-	Members struct{ List []member.Member }
-	// Config is a configuration as it was published.
+	// Members names instances, or only tells the digest of all that the sender
+	// knows.
+	Members struct {
+		List   []member.Member
+		Digest uint64
+		// Same are, in an answer, the parts in which both know the same.
+		Same sums.Mask
+	}
+	// AskMembers asks for members where the sender's sums differ.
+	AskMembers struct{ Sums []uint64 }
+	// Config is a configuration as it was published, or answers AskConfig that
+	// there is none newer. Packed, if there, is sent instead of the document.
 	Config struct {
 		Version  int64
 		Document []byte
+		Packed   []byte
+	}
+	// AskConfig asks for a configuration newer than a version.
+	AskConfig struct{ Version int64 }
+	// Servers are words on backend servers: news, or an answer to AskServers.
+	Servers struct {
+		List []stock.Known
+		// Part says that this is a piece of an answer with more to come.
+		Part bool
+		// News are no answer, but words learnt a moment ago.
+		News bool
 	}
-	// Servers are words on backend servers.
-	Servers struct{ List []stock.Known }
+	// AskServers asks for words on servers where the sender's sums differ.
+	AskServers struct{ Sums []uint64 }
 	// Submit hands a request over.
 	Submit struct{ Spec batch.Spec }
 	// Adopt tells of a request that runs.
@@ -66,8 +87,11 @@
 var (
 	_ Message = Beat{}
 	_ Message = Members{}
+	_ Message = AskMembers{}
 	_ Message = Config{}
+	_ Message = AskConfig{}
 	_ Message = Servers{}
+	_ Message = AskServers{}
 	_ Message = Submit{}
 	_ Message = Adopt{}
 	_ Message = Withdraw{}
@@ -87,7 +111,7 @@
 }
 
 func (msg Members) encode(time.Time) *wire.Envelope {
-	out := &wire.Members{}
+	out := &wire.Members{Digest: msg.Digest, Same: uint64(msg.Same)}
 	for _, mem := range msg.List {
 		out.List = append(out.List, fromMember(mem))
 	}
@@ -103,11 +127,41 @@
 }
 
 func (msg Config) encode(time.Time) *wire.Envelope {
-	return &wire.Envelope{Body: &wire.Envelope_Config{Config: &wire.Config{Version: msg.Version, Document: msg.Document}}}
+	out := &wire.Config{Version: msg.Version, Document: msg.Document}
+	if len(msg.Packed) > 0 {
+		out.Document, out.Packed = nil, msg.Packed
+	}
+	return &wire.Envelope{Body: &wire.Envelope_Config{Config: out}}
+}
+
+// toConfig returns nil for a document that can't be unpacked; it is asked for
+// again.
+func toConfig(con *wire.Config) Message {
+	out := Config{Version: con.GetVersion(), Document: con.GetDocument()}
+	if len(con.GetPacked()) > 0 {
+		doc, err := unpack(con.GetPacked())
+		if err != nil {
+			return nil
+		}
+		out.Document = doc
+	}
+	return out
+}
+
+func (msg AskConfig) encode(time.Time) *wire.Envelope {
+	return &wire.Envelope{Body: &wire.Envelope_AskConfig{AskConfig: &wire.AskConfig{Version: msg.Version}}}
+}
+
+func (msg AskServers) encode(time.Time) *wire.Envelope {
+	return &wire.Envelope{Body: &wire.Envelope_AskServers{AskServers: &wire.AskServers{Sums: msg.Sums}}}
+}
+
+func (msg AskMembers) encode(time.Time) *wire.Envelope {
+	return &wire.Envelope{Body: &wire.Envelope_AskMembers{AskMembers: &wire.AskMembers{Sums: msg.Sums}}}
 }
 
 func (msg Servers) encode(time.Time) *wire.Envelope {
-	out := &wire.Servers{}
+	out := &wire.Servers{Part: msg.Part, News: msg.News}
 	for _, kno := range msg.List {
 		out.List = append(out.List, fromServer(kno))
 	}
@@ -224,15 +278,21 @@
 		fresh := time.Duration(bod.Beat.GetFresh()) * time.Millisecond
 		return Beat{member.Beat{Ready: bod.Beat.GetReady(), Leaving: bod.Beat.GetLeaving(), Fresh: fresh, Version: bod.Beat.GetVersion(), Digest: bod.Beat.GetDigest()}}
 	case *wire.Envelope_Members:
-		out := Members{}
+		out := Members{Digest: bod.Members.GetDigest(), Same: sums.Mask(bod.Members.GetSame())}
 		for _, mem := range bod.Members.GetList() {
 			out.List = append(out.List, toMember(mem))
 		}
 		return out
 	case *wire.Envelope_Config:
-		return Config{Version: bod.Config.GetVersion(), Document: bod.Config.GetDocument()}
+		return toConfig(bod.Config)
+	case *wire.Envelope_AskConfig:
+		return AskConfig{Version: bod.AskConfig.GetVersion()}
+	case *wire.Envelope_AskServers:
+		return AskServers{Sums: bod.AskServers.GetSums()}
+	case *wire.Envelope_AskMembers:
+		return AskMembers{Sums: bod.AskMembers.GetSums()}
 	case *wire.Envelope_Servers:
-		out := Servers{}
+		out := Servers{Part: bod.Servers.GetPart(), News: bod.Servers.GetNews()}
 		for _, ser := range bod.Servers.GetList() {
 			out.List = append(out.List, toServer(ser))
 		}
