Bound in bytes what waits for links; pack lists of servers

Cause: the only bound was 4,096 messages a link, each up to a list of all servers. What is told again (beats, members, configurations, words on servers, questions) is left out beyond 256 KB for one link or 4 MB for all; requests and verdicts cut the link beyond 1 MB. One message always finds its way on a link that is free. Lists of 20 words and more travel compressed, packed once for all peers.

Red: with the three bounds put up a millionfold, TestWhatIsToldAgainIsLeftOut, TestAllLinksTogetherAreBounded and TestRequestsBeyondTheBoundCutTheLink fail.

--- a/io/edge/news.go
+++ b/io/edge/news.go
@@ -283,7 +283,7 @@
 	nws.paidAt = now
 	for nws.allowance > 0 && ctl.gather(now) {
 		num := min(answerWords, len(nws.pending))
-		msg := mesh.Servers{List: nws.pending[:num:num], Part: num < len(nws.pending)}
+		msg := mesh.Servers{List: nws.pending[:num:num], Part: num < len(nws.pending)}.Pack()
 		nws.pending = nws.pending[num:]
 		nws.allowance -= float64(mesh.Size(now, msg))
 		peer := nws.answering
@@ -339,9 +339,10 @@
 			rand.Shuffle(len(hubs), func(i, j int) { hubs[i], hubs[j] = hubs[j], hubs[i] })
 			told = hubs[:forwardTo]
 		}
+		msg := mesh.Servers{List: fresh, News: true}.Pack()
 		for _, adr := range slices.Concat(told, others) {
 			if adr != from {
-				ctl.lnk.Send(adr, mesh.Servers{List: fresh, News: true})
+				ctl.lnk.Send(adr, msg)
 			}
 		}
 	}
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -23,6 +24,15 @@
 	// queueLength bounds the messages that wait for one link, about two
 	// seconds of a rush; a peer that takes none is cut off.
 	queueLength = 4096
+	// linkBytes bounds what waits for one link before anything that is told
+	// again is left out, a fifth of a second at 10 Mbit/s.
+	linkBytes = 256 << 10
+	// hubBytes bounds in the same way what waits for all links together: a few
+	// megabytes of the 184 of a small instance.
+	hubBytes = 4 << 20
+	// cutBytes bounds what waits for one link of any kind, some 2,000 requests;
+	// a link that is over is cut, and both ends take its end for the other's.
+	cutBytes = 1 << 20
 	// dialTime bounds the opening of a link, between zones and under load.
 	dialTime = 1500 * time.Millisecond
 	// maxMessage covers the largest configuration that the platform stores.
@@ -57,6 +67,10 @@
 	// links by peer address, the newest last; messages go out on the newest.
 	links   map[string][]*link
 	dialing map[string]bool
+	// held is how many bytes wait for all links; dropped counts messages left
+	// out because they are told again.
+	held    atomic.Int64
+	dropped atomic.Int64
 }
 
 // New returns a hub without links.
@@ -153,10 +167,18 @@
 	Recv() (*wire.Envelope, error)
 }
 
+// parcel is a message that waits for its link.
+type parcel struct {
+	msg  Message
+	size int64
+}
+
 type link struct {
 	peer   member.Member
-	out    chan Message
+	out    chan parcel
 	cancel context.CancelFunc
+	// held is how many bytes wait.
+	held atomic.Int64
 
 	mu    sync.Mutex
 	cause error
@@ -187,7 +209,7 @@
 	if env.GetHello() == nil || env.GetHello().GetSelf().GetAddress() == "" {
 		return errors.New("peer link: the first message is no greeting")
 	}
-	lnk := &link{peer: toMember(env.GetHello().GetSelf()), out: make(chan Message, queueLength), cancel: cancel}
+	lnk := &link{peer: toMember(env.GetHello().GetSelf()), out: make(chan parcel, queueLength), cancel: cancel}
 	if lnk.peer.Address == hub.self.Address {
 		return errors.New("peer link: to myself")
 	}
@@ -225,8 +247,10 @@
 		select {
 		case <-ctx.Done():
 			return
-		case msg := <-lnk.out:
-			if err := stm.Send(msg.encode(hub.clk.Now())); err != nil {
+		case par := <-lnk.out:
+			err := stm.Send(par.msg.encode(hub.clk.Now()))
+			lnk.hold(hub, -par.size)
+			if err != nil {
 				return
 			}
 		}
@@ -243,6 +267,8 @@
 func (hub *Hub) remove(lnk *link) bool {
 	hub.mu.Lock()
 	defer hub.mu.Unlock()
+	// Nobody sends on it any more; what waited is gone with it.
+	hub.held.Add(-lnk.held.Swap(0))
 	list := hub.links[lnk.peer.Address]
 	for idx, oth := range list {
 		if oth == lnk {
@@ -258,9 +284,27 @@
 	return false
 }
 
-// Send queues a message for a peer. It reports whether there is a link; one
-// whose queue is full is cut.
+// hold counts bytes that wait for a link, or no longer do.
+func (lnk *link) hold(hub *Hub, size int64) {
+	lnk.held.Add(size)
+	hub.held.Add(size)
+}
+
+// Held returns how many bytes wait for all links.
+func (hub *Hub) Held() int64 { return hub.held.Load() }
+
+// Dropped counts messages that were left out because they are told again.
+func (hub *Hub) Dropped() int64 { return hub.dropped.Load() }
+
+// Send queues a message for a peer. It reports whether it will be sent: there
+// may be no link, or the link's queue may be over its bounds. What is told again
+// is then left out; for anything else the link is cut.
+//
+// Load pattern: a peer takes messages more slowly than they come, or many links
+// fill at once. Bounded by their number alone, 4,096 lists for each of 300 links
+// took all the memory of the instance, which was ended for it.
 func (hub *Hub) Send(address string, msg Message) bool {
+	size := int64(Size(hub.clk.Now(), msg))
 	hub.mu.Lock()
 	defer hub.mu.Unlock()
 	list := hub.links[address]
@@ -268,15 +312,37 @@
 		return false
 	}
 	lnk := list[len(list)-1]
+	held := lnk.held.Load()
+	again := toldAgain(msg)
+	if again && held > 0 && (held+size > linkBytes || hub.held.Load()+size > hubBytes) {
+		hub.dropped.Add(1)
+		return false
+	}
+	if !again && held+size > cutBytes {
+		lnk.cancel()
+		return false
+	}
+	lnk.hold(hub, size)
 	select {
-	case lnk.out <- msg:
+	case lnk.out <- parcel{msg: msg, size: size}:
 		return true
 	default:
+		lnk.hold(hub, -size)
 		lnk.cancel()
 		return false
 	}
 }
 
+// toldAgain reports whether a message that is lost does no harm: beats come
+// again, and what they say of versions and digests makes peers ask for the rest.
+func toldAgain(msg Message) bool {
+	switch msg.(type) {
+	case Beat, Members, AskMembers, Config, AskConfig, Servers, AskServers:
+		return true
+	}
+	return false
+}
+
 // Cut ends all links to a peer.
 func (hub *Hub) Cut(address string) {
 	hub.mu.Lock()
--- /dev/null
+++ b/io/mesh/mesh_test.go
@@ -0,0 +1,173 @@
+package mesh
+
+import (
+	"context"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lovagestream/core/batch"
+	"lovagestream/core/member"
+	"lovagestream/core/stock"
+	"lovagestream/io/clock"
+	"lovagestream/io/group"
+)
+
+// keeper keeps what links bring.
+type keeper struct {
+	mu     sync.Mutex
+	got    []Message
+	linked chan string
+	ended  chan string
+}
+
+func newKeeper() *keeper {
+	return &keeper{linked: make(chan string, 16), ended: make(chan string, 16)}
+}
+
+func (kee *keeper) Linked(mem member.Member)         { kee.linked <- mem.Address }
+func (kee *keeper) Unlinked(address string, _ error) { kee.ended <- address }
+func (kee *keeper) Got(_ string, msg Message) {
+	kee.mu.Lock()
+	defer kee.mu.Unlock()
+	kee.got = append(kee.got, msg)
+}
+
+func (kee *keeper) all() []Message {
+	kee.mu.Lock()
+	defer kee.mu.Unlock()
+	return append([]Message(nil), kee.got...)
+}
+
+// stuck is a hub with a link that takes nothing.
+func stuck(t *testing.T) (*Hub, *link, context.Context) {
+	t.Helper()
+	grp := group.New(context.Background())
+	t.Cleanup(grp.Stop)
+	hub := New(member.Member{Address: "a"}, newKeeper(), clock.System{}, nil, grp)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	lnk := &link{peer: member.Member{Address: "b"}, out: make(chan parcel, queueLength), cancel: cancel}
+	hub.add(lnk)
+	return hub, lnk, ctx
+}
+
+func words(num int) Servers {
+	var out Servers
+	for range num {
+		out.List = append(out.List, stock.Known{Revision: 7, Entry: stock.Entry{ID: strings.Repeat("i", 30), Address: "10.1.1.1:8000"}})
+	}
+	return out
+}
+
+// A peer takes nothing while this instance has much to tell it. Lists that wait
+// for it would take all memory; they are left out, the link stands, and a
+// request for the peer still has its place.
+func TestWhatIsToldAgainIsLeftOut(t *testing.T) {
+	hub, lnk, ctx := stuck(t)
+	sent := 0
+	for range 1000 {
+		if hub.Send("b", words(200)) {
+			sent++
+		}
+	}
+	require.Positive(t, sent)
+	require.LessOrEqual(t, lnk.held.Load(), int64(linkBytes))
+	require.EqualValues(t, 1000-sent, hub.Dropped())
+	require.NoError(t, ctx.Err())
+	require.True(t, hub.Send("b", Submit{Spec: batch.Spec{Key: batch.Key{ID: "r"}}}))
+	require.False(t, hub.Send("b", words(200)))
+}
+
+// All links together are bounded, too: 300 of them, each within its own bound,
+// would hold 77 MB. One message finds its way on a link that is free.
+func TestAllLinksTogetherAreBounded(t *testing.T) {
+	hub, _, _ := stuck(t)
+	for num := range 300 {
+		adr := strings.Repeat("c", num+1)
+		hub.add(&link{peer: member.Member{Address: adr}, out: make(chan parcel, queueLength), cancel: func() {}})
+		for range 5 {
+			hub.Send(adr, words(100))
+		}
+	}
+	one := int64(Size(time.Now(), words(100)))
+	require.LessOrEqual(t, hub.Held(), hubBytes+300*one)
+	require.Greater(t, hub.Held(), int64(hubBytes)-one)
+}
+
+// Requests are not told again: a link that can't carry them ends, so that both
+// ends take the other for lost and hand them elsewhere.
+func TestRequestsBeyondTheBoundCutTheLink(t *testing.T) {
+	hub, lnk, ctx := stuck(t)
+	spc := batch.Spec{Key: batch.Key{ID: strings.Repeat("r", 2000)}}
+	for range 1000 {
+		hub.Send("b", Submit{Spec: spc})
+	}
+	require.Error(t, ctx.Err())
+	require.LessOrEqual(t, lnk.held.Load(), int64(cutBytes))
+	hub.remove(lnk)
+	require.Zero(t, hub.Held(), "what waited is gone with the link")
+}
+
+// A document travels compressed and arrives whole; what can't be unpacked is
+// dropped, and asked for again.
+func TestPackedDocuments(t *testing.T) {
+	doc := []byte(strings.Repeat("route ", 10000))
+	raw, err := Pack(doc)
+	require.NoError(t, err)
+	now := time.Now()
+	msg := Config{Version: 3, Document: doc, Packed: raw}
+	require.Less(t, Size(now, msg), len(doc)/10)
+	got, ok := decode(now, "a", "b", msg.encode(now)).(Config)
+	require.True(t, ok)
+	require.Equal(t, doc, got.Document)
+	require.Nil(t, decode(now, "a", "b", Config{Version: 3, Packed: []byte{0xff, 1, 2}}.encode(now)))
+	bomb, err := Pack(make([]byte, maxMessage+1))
+	require.NoError(t, err)
+	require.Nil(t, decode(now, "a", "b", Config{Version: 3, Packed: bomb}.encode(now)))
+}
+
+// Words on many servers travel compressed, too: those of one rush differ little.
+func TestPackedServers(t *testing.T) {
+	now := time.Now()
+	few, many := words(2), words(200)
+	few.News, many.Part = true, true
+	require.Equal(t, few, few.Pack())
+	msg := many.Pack()
+	require.Less(t, Size(now, msg), Size(now, many)/10)
+	require.Equal(t, many, decode(now, "a", "b", msg.encode(now)))
+	require.Nil(t, decode(now, "a", "b", Servers{Packed: []byte{0xff, 1, 2}}.encode(now)))
+}
+
+// Two hubs link over a real connection; every kind that is asked for and told
+// arrives as it was sent, and nothing is left waiting.
+func TestMessagesArriveAsSent(t *testing.T) {
+	grp := group.New(context.Background())
+	t.Cleanup(grp.Stop)
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	one, two := newKeeper(), newKeeper()
+	adr := lis.Addr().String()
+	dlr := &net.Dialer{}
+	hub := New(member.Member{Address: "a"}, one, clock.System{}, dlr.DialContext, grp)
+	oth := New(member.Member{Address: adr}, two, clock.System{}, dlr.DialContext, grp)
+	grp.Go(func(ctx context.Context) error { return oth.Serve(ctx, lis) })
+	hub.Dial(adr)
+	require.Equal(t, adr, <-one.linked)
+	require.Equal(t, "a", <-two.linked)
+	sent := []Message{
+		AskServers{Sums: []uint64{1, 2}}, AskConfig{Version: 4}, AskMembers{Sums: []uint64{3}},
+		Members{Digest: 5}, Members{List: []member.Member{{Address: "c", Zone: "z", Born: 6, Share: 7}}, Same: 8},
+		Servers{List: words(2).List, Part: true}, Servers{List: words(1).List, News: true}, Servers{}, Config{Version: 9},
+	}
+	for _, msg := range sent {
+		require.True(t, hub.Send(adr, msg))
+	}
+	require.Eventually(t, func() bool { return len(two.all()) == len(sent) }, 10*time.Second, 5*time.Millisecond)
+	require.Equal(t, sent, two.all())
+	require.Eventually(t, func() bool { return hub.Held() == 0 }, 10*time.Second, 5*time.Millisecond)
+}
--- a/io/mesh/message.go
+++ b/io/mesh/message.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"lovagestream/core/batch"
 	"lovagestream/core/call"
 	"lovagestream/core/member"
@@ -49,6 +51,8 @@
 		Part bool
 		// News are no answer, but words learnt a moment ago.
 		News bool
+		// Packed, if there, is sent instead of the list.
+		Packed []byte
 	}
 	// AskServers asks for words on servers where the sender's sums differ.
 	AskServers struct{ Sums []uint64 }
@@ -161,11 +165,57 @@
 }
 
 func (msg Servers) encode(time.Time) *wire.Envelope {
-	out := &wire.Servers{Part: msg.Part, News: msg.News}
+	out := msg.wire()
+	if len(msg.Packed) > 0 {
+		out = &wire.Servers{Packed: msg.Packed}
+	}
+	out.Part, out.News = msg.Part, msg.News
+	return &wire.Envelope{Body: &wire.Envelope_Servers{Servers: out}}
+}
+
+func (msg Servers) wire() *wire.Servers {
+	out := &wire.Servers{}
 	for _, kno := range msg.List {
 		out.List = append(out.List, fromServer(kno))
 	}
-	return &wire.Envelope{Body: &wire.Envelope_Servers{Servers: out}}
+	return out
+}
+
+// packFrom is from how many words on a list is packed.
+const packFrom = 20
+
+// Pack returns the message as it is sent to many, or unchanged if it is short.
+func (msg Servers) Pack() Servers {
+	if len(msg.List) < packFrom {
+		return msg
+	}
+	raw, err := proto.Marshal(msg.wire())
+	if err != nil {
+		return msg
+	}
+	if packed, err := Pack(raw); err == nil {
+		msg.Packed = packed
+	}
+	return msg
+}
+
+// toServers returns nil for a list that can't be unpacked; what differs is asked
+// for again.
+func toServers(ser *wire.Servers) Message {
+	out := Servers{Part: ser.GetPart(), News: ser.GetNews()}
+	list := ser.GetList()
+	if len(ser.GetPacked()) > 0 {
+		raw, err := unpack(ser.GetPacked())
+		inner := &wire.Servers{}
+		if err != nil || proto.Unmarshal(raw, inner) != nil {
+			return nil
+		}
+		list = inner.GetList()
+	}
+	for _, one := range list {
+		out.List = append(out.List, toServer(one))
+	}
+	return out
 }
 
 func fromServer(kno stock.Known) *wire.Server {
@@ -292,11 +342,7 @@
 	case *wire.Envelope_AskMembers:
 		return AskMembers{Sums: bod.AskMembers.GetSums()}
 	case *wire.Envelope_Servers:
-		out := Servers{Part: bod.Servers.GetPart(), News: bod.Servers.GetNews()}
-		for _, ser := range bod.Servers.GetList() {
-			out.List = append(out.List, toServer(ser))
-		}
-		return out
+		return toServers(bod.Servers)
 	case *wire.Envelope_Submit:
 		return Submit{Spec: toSpec(now, from, bod.Submit)}
 	case *wire.Envelope_Adopt:
--- a/io/mesh/pack.go
+++ b/io/mesh/pack.go
@@ -4,18 +4,31 @@
 	"bytes"
 	"compress/flate"
 	"io"
+	"sync"
 
 	"github.com/pkg/errors"
 )
 
+// writers are compressors that are free: one takes half a megabyte.
+var writers = sync.Pool{New: func() any {
+	wri, err := flate.NewWriter(io.Discard, flate.DefaultCompression)
+	if err != nil {
+		// Only a level that doesn't exist fails.
+		return nil
+	}
+	return wri
+}}
+
 // Pack compresses a document: what 300 peers ask for at the same moment is as
 // many times its size on one instance's link, and documents repeat themselves.
 func Pack(document []byte) ([]byte, error) {
-	var out bytes.Buffer
-	wri, err := flate.NewWriter(&out, flate.DefaultCompression)
-	if err != nil {
-		return nil, errors.Wrap(err, "compression")
+	wri, ok := writers.Get().(*flate.Writer)
+	if !ok {
+		return nil, errors.New("compression: no writer")
 	}
+	defer writers.Put(wri)
+	var out bytes.Buffer
+	wri.Reset(&out)
 	if _, err := wri.Write(document); err != nil {
 		return nil, errors.Wrap(err, "compression")
 	}
