Beats: say only that the last one holds; slower in fleets of over 200

At 300 instances beats were 49 of a hub's 50 KB/s. A beat that says nothing new is 17 bytes instead of 33. Beyond 200 members the period grows with them to 400 ms, so that a hub sends 1,000 beats a second at most; what counts as silent grows with it (four beats and 50 ms: 850 ms up to 200 members, 1.25 s at 300). Killed processes show by the ends of their links as before.

Large messages wait at their links for one of 16 places before the control thread: its queue was bounded in events only.

--- a/core/member/hubs.go
+++ b/core/member/hubs.go
@@ -108,7 +108,7 @@
 		if _, seen := dark[inf.Zone]; !seen {
 			dark[inf.Zone] = true
 		}
-		if inf.live(now) {
+		if set.live(now, inf) {
 			dark[inf.Zone] = false
 		}
 	}
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -39,14 +39,22 @@
 }
 
 const (
-	// Period of beats. A message and its answer cost some tens of
+	// shortPeriod is that of beats. A message and its answer cost some tens of
 	// microseconds of a small instance's processor.
-	Period = 200 * time.Millisecond
-	// silence is how long a live member may be silent: four beats, and less
-	// than requests can wait that it has taken over.
-	silence = 850 * time.Millisecond
-	// Dead is when a silent link is cut and dialled anew.
-	Dead = 1500 * time.Millisecond
+	shortPeriod = 200 * time.Millisecond
+	// longPeriod is that of beats in the largest fleets.
+	longPeriod = 400 * time.Millisecond
+	// shortFleet is up to how many members beats have the short period; beyond,
+	// it grows with them, so that a hub sends 1,000 beats a second at most, which
+	// are 21 KB.
+	shortFleet = 200
+	// beatsMissed is how many beats of a live member may be missing, and
+	// beatSlack what the last of them may be late: 850 ms in a fleet of up to 200,
+	// less than requests can wait that it has taken over.
+	beatsMissed = 4
+	beatSlack   = 50 * time.Millisecond
+	// deadAfter is how much later than that a silent link is cut and dialled anew.
+	deadAfter = 650 * time.Millisecond
 	// forgotten is how long an address is tried after it was last heard of;
 	// partitions of a minute are ordinary.
 	forgotten = 2 * time.Minute
@@ -77,6 +85,8 @@
 	beat   Beat
 	linked bool
 	heard  time.Time
+	// told is when it last said beat whole; beats since said that it holds.
+	told time.Time
 	// known is when the address was last named or linked.
 	known  time.Time
 	dialed time.Time
@@ -169,19 +179,39 @@
 func (set *Set) Heard(now time.Time, address string, bea Beat) {
 	if inf := set.others[address]; inf != nil {
 		inf.beat = bea
+		inf.told = now
 		inf.heard = now
 		inf.known = now
 	}
 }
 
-func (inf *info) live(now time.Time) bool {
-	return inf.linked && now.Sub(inf.heard) <= silence
+// Again notes that a member's last beat still holds, and returns that.
+func (set *Set) Again(now time.Time, address string) Beat {
+	inf := set.others[address]
+	if inf == nil {
+		return Beat{Fresh: -1}
+	}
+	inf.heard = now
+	inf.known = now
+	return inf.beat
+}
+
+// Period returns how often to beat.
+func (set *Set) Period() time.Duration {
+	return min(longPeriod, shortPeriod*time.Duration(max(shortFleet, len(set.others)+1))/shortFleet)
+}
+
+// silence is how long a live member may be silent.
+func (set *Set) silence() time.Duration { return beatsMissed*set.Period() + beatSlack }
+
+func (set *Set) live(now time.Time, inf *info) bool {
+	return inf.linked && now.Sub(inf.heard) <= set.silence()
 }
 
 // Live reports whether a member is linked and was heard a moment ago.
 func (set *Set) Live(now time.Time, address string) bool {
 	inf := set.others[address]
-	return inf != nil && inf.live(now)
+	return inf != nil && set.live(now, inf)
 }
 
 // links returns linked members, silent ones included.
@@ -211,7 +241,7 @@
 func (set *Set) Silent(now time.Time) []string {
 	var out []string
 	for _, inf := range set.links() {
-		if now.Sub(inf.heard) > Dead {
+		if now.Sub(inf.heard) > set.silence()+deadAfter {
 			out = append(out, inf.Address)
 		}
 	}
@@ -227,7 +257,7 @@
 			continue
 		}
 		known++
-		if inf.live(now) {
+		if set.live(now, inf) {
 			live++
 		}
 	}
@@ -308,7 +338,7 @@
 func (set *Set) Desk(now time.Time) string {
 	best, found := set.self, set.beat.Ready && !set.beat.Leaving
 	for _, inf := range set.others {
-		if !inf.live(now) || inf.beat.Leaving || !inf.beat.Ready {
+		if !set.live(now, inf) || inf.beat.Leaving || !inf.beat.Ready {
 			continue
 		}
 		if !found || elder(inf.Member, best) {
@@ -330,14 +360,14 @@
 		if inf.Born > 0 {
 			known++
 		}
-		if !inf.live(now) {
+		if !set.live(now, inf) {
 			continue
 		}
 		alone = false
 		if inf.Zone == set.self.Zone && inf.beat.Ready && elder(inf.Member, set.self) {
 			first = false
 		}
-		if inf.beat.Fresh >= 0 && inf.beat.Fresh+now.Sub(inf.heard) < staleAfter {
+		if inf.beat.Fresh >= 0 && inf.beat.Fresh+now.Sub(inf.told) < staleAfter {
 			news = true
 		}
 	}
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -33,6 +33,8 @@
 const (
 	// queueLength of the control thread's events, about a second of a rush.
 	queueLength = 4096
+	// largeMessages of peers may wait among them, about a megabyte.
+	largeMessages = 16
 	// tickPeriod is how often time is looked at. Calls to stage servers are
 	// sent a little before their turn, which this must meet.
 	tickPeriod = 10 * time.Millisecond
@@ -62,6 +64,14 @@
 	engine string
 }
 
+// said is what the peers were last told by a whole beat.
+type said struct {
+	beat    member.Beat
+	storeAt time.Time
+	// missed are peers that were not told.
+	missed map[string]bool
+}
+
 // Control is what one instance knows, and the thread that changes it.
 type Control struct {
 	set   Settings
@@ -71,6 +81,10 @@
 	jou   *lines.Writer
 	calls *caller
 	que   chan event
+	// large has a place for each large message that waits for the control
+	// thread; ended is closed when that ends.
+	large chan struct{}
+	ended chan struct{}
 	view  atomic.Pointer[entry.View]
 	stats atomic.Pointer[stats]
 	// duty tells the reader of the store whether to read.
@@ -118,6 +132,7 @@
 	ticked      time.Time
 	boot        time.Duration
 	news        *news
+	said        said
 	membersAt   time.Time
 	beatAt      time.Time
 	statedAt    time.Time
@@ -140,7 +155,7 @@
 		set: set, clk: clk, dec: dec, jou: jou, que: make(chan event, queueLength),
 		mem:  member.NewSet(member.Member{Address: set.Told, Zone: set.Zone, Born: born, Share: set.Share}),
 		book: stock.NewBook(), repeats: batch.NewRepeats(set.RepeatRatio, set.RepeatSlack, set.RepeatWindow),
-		strangers: map[string]int64{}, waiters: map[string]*waiter{}, news: newNews(), relinked: map[string]bool{}, frees: map[string][]string{},
+		strangers: map[string]int64{}, waiters: map[string]*waiter{}, news: newNews(), said: said{missed: map[string]bool{}}, large: make(chan struct{}, largeMessages), ended: make(chan struct{}), relinked: map[string]bool{}, frees: map[string][]string{},
 		verified: true, ticked: now, boot: bootTime(), deskAt: set.Told, reread: func() {},
 	}
 	ctl.desk = batch.New(ctl, ctl.repeats)
@@ -157,6 +172,7 @@
 
 // Run is the control thread.
 func (ctl *Control) Run(ctx context.Context) error {
+	defer close(ctl.ended)
 	for {
 		select {
 		case <-ctx.Done():
@@ -316,8 +332,20 @@
 	ctl.post(evUnlinked{address: address, cause: cause})
 }
 
-// Got takes a message in.
-func (ctl *Control) Got(from string, msg mesh.Message) { ctl.post(evGot{from: from, msg: msg}) }
+// Got takes a message in. Large ones wait at their links for one of a few
+// places: the queue is bounded in events, and 4,096 lists would take 200 MB.
+func (ctl *Control) Got(from string, msg mesh.Message) {
+	evt := evGot{from: from, msg: msg}
+	if !mesh.Large(msg) {
+		ctl.post(evt)
+		return
+	}
+	select {
+	case ctl.large <- struct{}{}:
+		ctl.post(evLarge{evt})
+	case <-ctl.ended:
+	}
+}
 
 // Call sends a call to a stage server.
 func (ctl *Control) Call(cal batch.Call) {
--- a/io/edge/duties.go
+++ b/io/edge/duties.go
@@ -42,7 +42,7 @@
 	}
 	ctl.passOn(now)
 	ctl.answer(now)
-	if now.Sub(ctl.beatAt) >= member.Period {
+	if now.Sub(ctl.beatAt) >= ctl.mem.Period() {
 		ctl.beatAt = now
 		ctl.beats(now)
 	}
@@ -107,12 +107,37 @@
 	return mesh.Beat{Beat: bea}
 }
 
-// beats tells the others that this instance runs, and looks who else does.
-func (ctl *Control) beats(now time.Time) {
+// freshStep is how much newer the own news of the store may be than the others
+// were told; they then take it for that much older than it is.
+const freshStep = 500 * time.Millisecond
+
+// sayBeats tells all peers that this instance runs, and what has changed since
+// it told them last. Who was not sent that, because its link's queue is over its
+// bounds, is told all again.
+func (ctl *Control) sayBeats(now time.Time) {
 	bea := ctl.beat(now)
+	said := &ctl.said
+	again := bea.Ready == said.beat.Ready && bea.Leaving == said.beat.Leaving && bea.Version == said.beat.Version && bea.Digest == said.beat.Digest &&
+		ctl.storeAt.Sub(said.storeAt) < freshStep
+	if !again {
+		said.beat, said.storeAt = bea.Beat, ctl.storeAt
+	}
 	for _, adr := range ctl.mem.Peers() {
-		ctl.lnk.Send(adr, bea)
+		if again && !said.missed[adr] {
+			ctl.lnk.Send(adr, mesh.Again{})
+			continue
+		}
+		if ctl.lnk.Send(adr, bea) {
+			delete(said.missed, adr)
+		} else {
+			said.missed[adr] = true
+		}
 	}
+}
+
+// beats tells the others that this instance runs, and looks who else does.
+func (ctl *Control) beats(now time.Time) {
+	ctl.sayBeats(now)
 	for _, adr := range ctl.mem.Silent(now) {
 		ctl.jou.Note("member-silent", lines.Fields{"member": adr})
 		ctl.lnk.Cut(adr)
--- a/io/edge/events.go
+++ b/io/edge/events.go
@@ -144,6 +144,7 @@
 	was := ctl.mem.Live(now, evt.address)
 	ctl.mem.Unlinked(now, evt.address)
 	ctl.news.forget(evt.address)
+	delete(ctl.said.missed, evt.address)
 	if was {
 		fie := lines.Fields{"member": evt.address}
 		if evt.cause != nil {
@@ -170,6 +171,8 @@
 	switch msg := evt.msg.(type) {
 	case mesh.Beat:
 		ctl.heard(now, evt.from, msg.Beat)
+	case mesh.Again:
+		ctl.heardAgain(now, evt.from)
 	case mesh.Members:
 		ctl.gotMembers(now, evt.from, msg)
 	case mesh.AskMembers:
@@ -201,6 +204,14 @@
 	}
 }
 
+// evLarge is a large message, which gives its place back.
+type evLarge struct{ evGot }
+
+func (evt evLarge) apply(ctl *Control, now time.Time) {
+	evt.evGot.apply(ctl, now)
+	<-ctl.large
+}
+
 type evCrash struct {
 	msg mesh.Crash
 	own bool
--- a/io/edge/large_test.go
+++ b/io/edge/large_test.go
@@ -16,7 +16,6 @@
 
 	"github.com/pkg/errors"
 
-	"lovagestream/core/member"
 	"lovagestream/core/stock"
 	"lovagestream/core/table"
 	"lovagestream/io/clock"
@@ -428,7 +427,6 @@
 }
 
 var _ Links = (*simNode)(nil)
-var _ = member.Period
 
 func (sim *simFleet) startAll() {
 	for _, nod := range sim.nodes {
--- a/io/edge/news.go
+++ b/io/edge/news.go
@@ -132,6 +132,13 @@
 	ctl.behind(now, from, bea.Version)
 }
 
+// heardAgain takes a beat in that says what the last one said.
+func (ctl *Control) heardAgain(now time.Time, from string) {
+	bea := ctl.mem.Again(now, from)
+	ctl.compare(now, from, bea.Digest)
+	ctl.behind(now, from, bea.Version)
+}
+
 // behind asks a peer for its configuration if that is newer, or if this
 // instance woke and must hear that its own is in force.
 func (ctl *Control) behind(now time.Time, from string, version int64) {
@@ -400,7 +407,10 @@
 // greet tells a new peer what this instance has, and names the newcomer to
 // others if that falls to this one.
 func (ctl *Control) greet(now time.Time, mem member.Member) {
-	ctl.lnk.Send(mem.Address, ctl.beat(now))
+	delete(ctl.said.missed, mem.Address)
+	if !ctl.lnk.Send(mem.Address, ctl.beat(now)) {
+		ctl.said.missed[mem.Address] = true
+	}
 	ctl.lnk.Send(mem.Address, mesh.Members{Digest: ctl.mem.Sums().Digest()})
 	if mem.Zone == ctl.set.Zone {
 		ctl.news.joined = append(ctl.news.joined, mem)
--- a/io/mesh/mesh_test.go
+++ b/io/mesh/mesh_test.go
@@ -160,7 +160,7 @@
 	require.Equal(t, adr, <-one.linked)
 	require.Equal(t, "a", <-two.linked)
 	sent := []Message{
-		AskServers{Sums: []uint64{1, 2}}, AskConfig{Version: 4}, AskMembers{Sums: []uint64{3}},
+		Again{}, AskServers{Sums: []uint64{1, 2}}, AskConfig{Version: 4}, AskMembers{Sums: []uint64{3}},
 		Members{Digest: 5}, Members{List: []member.Member{{Address: "c", Zone: "z", Born: 6, Share: 7}}, Same: 8},
 		Servers{List: words(2).List, Part: true}, Servers{List: words(1).List, News: true}, Servers{}, Config{Version: 9},
 	}
--- a/io/mesh/message.go
+++ b/io/mesh/message.go
@@ -25,6 +25,8 @@
 type (
 	// Beat says that the sender runs.
 	Beat struct{ member.Beat }
+	// Again says that the sender runs and that its last Beat still holds.
+	Again struct{}
 	// Members names instances, or only tells the digest of all that the sender
 	// knows.
 	Members struct {
@@ -90,6 +92,7 @@
 
 var (
 	_ Message = Beat{}
+	_ Message = Again{}
 	_ Message = Members{}
 	_ Message = AskMembers{}
 	_ Message = Config{}
@@ -114,6 +117,10 @@
 	return &wire.Envelope{Body: &wire.Envelope_Beat{Beat: &wire.Beat{Ready: msg.Ready, Leaving: msg.Leaving, Fresh: fresh, Version: msg.Version, Digest: msg.Digest}}}
 }
 
+func (Again) encode(time.Time) *wire.Envelope {
+	return &wire.Envelope{Body: &wire.Envelope_Again{Again: &wire.Again{}}}
+}
+
 func (msg Members) encode(time.Time) *wire.Envelope {
 	out := &wire.Members{Digest: msg.Digest, Same: uint64(msg.Same)}
 	for _, mem := range msg.List {
@@ -327,6 +334,8 @@
 	case *wire.Envelope_Beat:
 		fresh := time.Duration(bod.Beat.GetFresh()) * time.Millisecond
 		return Beat{member.Beat{Ready: bod.Beat.GetReady(), Leaving: bod.Beat.GetLeaving(), Fresh: fresh, Version: bod.Beat.GetVersion(), Digest: bod.Beat.GetDigest()}}
+	case *wire.Envelope_Again:
+		return Again{}
 	case *wire.Envelope_Members:
 		out := Members{Digest: bod.Members.GetDigest(), Same: sums.Mask(bod.Members.GetSame())}
 		for _, mem := range bod.Members.GetList() {
