--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -33,6 +33,8 @@
 const (
 	// queueLength of the control thread's events, about a second of a rush.
 	queueLength = 4096
+	// largeMessages of peers may wait among them, about a megabyte.
+	largeMessages = 16
 	// tickPeriod is how often time is looked at. Calls to stage servers are
 	// sent a little before their turn, which this must meet.
 	tickPeriod = 10 * time.Millisecond
@@ -45,16 +47,6 @@
 	// lapseTime is how long after an outage of the store entries that lapsed
 	// may take to come back.
 	lapseTime = 2200 * time.Millisecond
-	// unlikeFor is how long a peer's knowledge of servers may differ before it is
-	// told all: news of one change takes a few milliseconds.
-	unlikeFor = 700 * time.Millisecond
-	// unlikeEvery is how often it is told again if it still differs.
-	unlikeEvery = 4 * time.Second
-	// forwardTo is how many peers a word heard from a peer is passed on to.
-	forwardTo = 6
-	// behindFor is how long a peer may report an older configuration before it
-	// is sent the newer.
-	behindFor = 300 * time.Millisecond
 )
 
 // event is something that happened; the control thread applies it.
@@ -72,6 +64,14 @@
 	engine string
 }
 
+// said is what the peers were last told by a whole beat.
+type said struct {
+	beat    member.Beat
+	storeAt time.Time
+	// missed are peers that were not told.
+	missed map[string]bool
+}
+
 // Control is what one instance knows, and the thread that changes it.
 type Control struct {
 	set   Settings
@@ -81,6 +81,10 @@
 	jou   *lines.Writer
 	calls *caller
 	que   chan event
+	// large has a place for each large message that waits for the control
+	// thread; ended is closed when that ends.
+	large chan struct{}
+	ended chan struct{}
 	view  atomic.Pointer[entry.View]
 	stats atomic.Pointer[stats]
 	// duty tells the reader of the store whether to read.
@@ -98,12 +102,19 @@
 	// strangers are servers whose address answered for another, by the
 	// revision of their entry.
 	strangers map[string]int64
-	waiters   map[string]*waiter
-	deskAt    string
+	// live are the servers that can be used, servers the same by service, left
+	// those that can't; survey makes all three. Lists are never changed once
+	// made: views hold them.
+	live    []stock.Entry
+	servers map[string][]stock.Entry
+	left    map[string]bool
+	// dirty says that servers or the configuration changed since surveyedAt.
+	dirty      bool
+	surveyedAt time.Time
+	waiters    map[string]*waiter
+	deskAt     string
 	// dark are zones that went silent.
 	dark map[string]bool
-	// behind is since when a peer reports an older configuration.
-	behind map[string]time.Time
 	// frees are results to give up, by maker's address.
 	frees map[string][]string
 	// asked counts the pieces that requests needed of each pool since the pools'
@@ -123,14 +134,13 @@
 	readServers bool
 	ticked      time.Time
 	boot        time.Duration
-	// digest is that of the book; unlike is since when a peer's differs.
-	digest    uint64
-	unlike    map[string]time.Time
-	membersAt time.Time
-	beatAt    time.Time
-	statedAt  time.Time
-	storeAt   time.Time
-	storeDown bool
+	news        *news
+	said        said
+	membersAt   time.Time
+	beatAt      time.Time
+	statedAt    time.Time
+	storeAt     time.Time
+	storeDown   bool
 	// storeBack is when the store last answered after an outage.
 	storeBack time.Time
 	stale     bool
@@ -148,13 +158,14 @@
 		set: set, clk: clk, dec: dec, jou: jou, que: make(chan event, queueLength),
 		mem:  member.NewSet(member.Member{Address: set.Told, Zone: set.Zone, Born: born, Share: set.Share}),
 		book: stock.NewBook(), repeats: batch.NewRepeats(set.RepeatRatio, set.RepeatSlack, set.RepeatWindow),
-		strangers: map[string]int64{}, waiters: map[string]*waiter{}, behind: map[string]time.Time{}, unlike: map[string]time.Time{}, relinked: map[string]bool{}, frees: map[string][]string{}, asked: map[string]int{},
+		strangers: map[string]int64{}, waiters: map[string]*waiter{}, news: newNews(), said: said{missed: map[string]bool{}}, large: make(chan struct{}, largeMessages), ended: make(chan struct{}), relinked: map[string]bool{}, frees: map[string][]string{}, asked: map[string]int{},
 		verified: true, ticked: now, boot: bootTime(), deskAt: set.Told, reread: func() {},
 	}
 	ctl.desk = batch.New(ctl, ctl.repeats)
 	ctl.mem.Seeds(now, set.Seeds)
 	ctl.duty.Store(&follow.Duty{Reads: true, Crowd: 1})
 	ctl.stats.Store(ctl.state(now))
+	ctl.survey(now)
 	ctl.publish(now)
 	return ctl
 }
@@ -164,19 +175,33 @@
 
 // Run is the control thread.
 func (ctl *Control) Run(ctx context.Context) error {
+	defer close(ctl.ended)
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case evt := <-ctl.que:
 			evt.apply(ctl, ctl.clk.Now())
-			if ctl.stale {
-				ctl.publish(ctl.clk.Now())
-			}
+			ctl.settle(ctl.clk.Now())
 		}
 	}
 }
 
+// surveyCost is what a survey may take for each server before the next, some
+// ten times what it costs: in a change of many servers, one word each, no more
+// than a tenth of the processor goes into lists.
+const surveyCost = 20 * time.Microsecond
+
+// settle takes what changed into use. Words on servers come in rushes, when many
+// start or leave; a survey for each of 600 words took two seconds of a
+// processor, and beats came late.
+func (ctl *Control) settle(now time.Time) {
+	pause := time.Duration(len(ctl.live)) * surveyCost
+	if ctl.stale || ctl.dirty && now.Sub(ctl.surveyedAt) >= pause {
+		ctl.publish(now)
+	}
+}
+
 // Tick posts the passing of time until the context ends.
 func (ctl *Control) Tick(ctx context.Context) error {
 	ctl.clk.Every(ctx, tickPeriod, func(time.Time) {
@@ -200,23 +225,19 @@
 	return viw.Table != nil && len(viw.Servers) > 0 && viw.Verified && !viw.Stopping
 }
 
-// publish makes a view of the state.
+// publish makes a view of the state, and takes new servers or a new
+// configuration into use.
 func (ctl *Control) publish(now time.Time) {
 	ctl.stale = false
+	if ctl.dirty {
+		ctl.survey(now)
+	}
 	live, known := ctl.mem.Count(now)
 	viw := &entry.View{
-		Table: ctl.tab, Servers: map[string][]stock.Entry{}, Left: map[string]bool{}, Verified: ctl.verified, Stopping: ctl.stopping,
+		Table: ctl.tab, Servers: ctl.servers, Left: ctl.left, Verified: ctl.verified, Stopping: ctl.stopping,
 		Closing: ctl.closingAt, Marks: ctl.marks, Live: live, Known: known, Dark: ctl.dark,
 		Repeats: entry.RepeatLimits{Ratio: ctl.set.RepeatRatio, Slack: ctl.set.RepeatSlack, Window: ctl.set.RepeatWindow},
 	}
-	for _, kno := range ctl.book.All() {
-		if kno.Gone || kno.Entry.Leaving || ctl.strange(kno) {
-			viw.Left[kno.Entry.ID] = true
-		}
-	}
-	for _, ent := range ctl.usable() {
-		viw.Servers[ent.Service] = append(viw.Servers[ent.Service], ent)
-	}
 	ctl.view.Store(viw)
 }
 
@@ -225,6 +246,27 @@
 	return have && kno.Revision <= rev
 }
 
+// survey makes what views and the forming of calls need of all servers. Views
+// are made many times a second, also where no server changed: made anew in each,
+// the lists of 3,000 servers took more of a small instance's processor than its
+// requests.
+func (ctl *Control) survey(now time.Time) {
+	ctl.dirty, ctl.surveyedAt = false, now
+	ctl.live = ctl.usable()
+	ctl.servers, ctl.left = map[string][]stock.Entry{}, map[string]bool{}
+	for _, kno := range ctl.book.All() {
+		if kno.Gone || kno.Entry.Leaving || ctl.strange(kno) {
+			ctl.left[kno.Entry.ID] = true
+		}
+	}
+	for _, ent := range ctl.live {
+		ctl.servers[ent.Service] = append(ctl.servers[ent.Service], ent)
+	}
+	if ctl.tab != nil {
+		ctl.desk.Configure(now, ctl.tab, ctl.live)
+	}
+}
+
 // usable lists live servers, without those whose address is another's now.
 func (ctl *Control) usable() []stock.Entry {
 	all := ctl.book.Live()
@@ -237,13 +279,10 @@
 	return out
 }
 
-// changed takes new servers or a new configuration into use.
+// changed takes new servers or a new configuration into use at once.
 func (ctl *Control) changed(now time.Time) {
-	ctl.digest = ctl.book.Digest()
+	ctl.dirty = true
 	ctl.publish(now)
-	if ctl.tab != nil {
-		ctl.desk.Configure(now, ctl.tab, ctl.usable())
-	}
 }
 
 // Submit hands a request over.
@@ -296,8 +335,20 @@
 	ctl.post(evUnlinked{address: address, cause: cause})
 }
 
-// Got takes a message in.
-func (ctl *Control) Got(from string, msg mesh.Message) { ctl.post(evGot{from: from, msg: msg}) }
+// Got takes a message in. Large ones wait at their links for one of a few
+// places: the queue is bounded in events, and 4,096 lists would take 200 MB.
+func (ctl *Control) Got(from string, msg mesh.Message) {
+	evt := evGot{from: from, msg: msg}
+	if !mesh.Large(msg) {
+		ctl.post(evt)
+		return
+	}
+	select {
+	case ctl.large <- struct{}{}:
+		ctl.post(evLarge{evt})
+	case <-ctl.ended:
+	}
+}
 
 // Call sends a call to a stage server.
 func (ctl *Control) Call(cal batch.Call) {
--- a/io/edge/duties.go
+++ b/io/edge/duties.go
@@ -41,7 +41,9 @@
 		ctl.calls.free(adr, handles)
 		delete(ctl.frees, adr)
 	}
-	if now.Sub(ctl.beatAt) >= member.Period {
+	ctl.passOn(now)
+	ctl.answer(now)
+	if now.Sub(ctl.beatAt) >= ctl.mem.Period() {
 		ctl.beatAt = now
 		ctl.beats(now)
 	}
@@ -109,17 +111,42 @@
 	if ctl.tab != nil {
 		bea.Version = ctl.tab.Version()
 	}
-	bea.Digest = ctl.digest
+	bea.Digest = ctl.book.Digest()
 	ctl.mem.SetBeat(bea)
 	return mesh.Beat{Beat: bea}
 }
 
-// beats tells the others that this instance runs, and looks who else does.
-func (ctl *Control) beats(now time.Time) {
+// freshStep is how much newer the own news of the store may be than the others
+// were told; they then take it for that much older than it is.
+const freshStep = 500 * time.Millisecond
+
+// sayBeats tells all peers that this instance runs, and what has changed since
+// it told them last. Who was not sent that, because its link's queue is over its
+// bounds, is told all again.
+func (ctl *Control) sayBeats(now time.Time) {
 	bea := ctl.beat(now)
+	said := &ctl.said
+	again := bea.Ready == said.beat.Ready && bea.Leaving == said.beat.Leaving && bea.Version == said.beat.Version && bea.Digest == said.beat.Digest &&
+		ctl.storeAt.Sub(said.storeAt) < freshStep
+	if !again {
+		said.beat, said.storeAt = bea.Beat, ctl.storeAt
+	}
 	for _, adr := range ctl.mem.Peers() {
-		ctl.lnk.Send(adr, bea)
+		if again && !said.missed[adr] {
+			ctl.lnk.Send(adr, mesh.Again{})
+			continue
+		}
+		if ctl.lnk.Send(adr, bea) {
+			delete(said.missed, adr)
+		} else {
+			said.missed[adr] = true
+		}
 	}
+}
+
+// beats tells the others that this instance runs, and looks who else does.
+func (ctl *Control) beats(now time.Time) {
+	ctl.sayBeats(now)
 	for _, adr := range ctl.mem.Silent(now) {
 		ctl.jou.Note("member-silent", lines.Fields{"member": adr})
 		ctl.lnk.Cut(adr)
@@ -128,7 +155,7 @@
 		ctl.lnk.Dial(adr)
 	}
 	if gone := ctl.book.Settle(now); len(gone) > 0 {
-		ctl.spread(now, gone, "")
+		ctl.spread(gone, "")
 	}
 	ctl.verify(now)
 	ctl.tellMembers(now)
@@ -137,21 +164,6 @@
 	ctl.stale = true
 }
 
-// membersPeriod is how often the hubs of a large fleet name all members to
-// those that link to them, who see few others.
-const membersPeriod = 10 * time.Second
-
-func (ctl *Control) tellMembers(now time.Time) {
-	if now.Sub(ctl.membersAt) < membersPeriod || !ctl.mem.Hub(now) {
-		return
-	}
-	ctl.membersAt = now
-	list := ctl.mem.List()
-	for _, adr := range ctl.mem.Peers() {
-		ctl.lnk.Send(adr, mesh.Members{List: list})
-	}
-}
-
 // duties works out who does what, from the members alone.
 func (ctl *Control) duties(now time.Time) {
 	if desk := ctl.mem.Desk(now); desk != ctl.deskAt {
