Soak: callers on kept connections, clocks that jump, long pauses, sizes

Callers hold a connection and use it until the other side ends it, also in a planned stop; the checker tells by TCP's reset whether a request was read before its connection was closed. Every second instance of the stand runs the same parts on a clock whose time of day a file steps. Sizes and kinds of faults are parameters.

--- a/stand/field/check.go
+++ b/stand/field/check.go
@@ -30,14 +30,22 @@
 
 // Report is what a run showed.
 type Report struct {
-	Sends    int
-	Served   int
-	Refused  int
-	Failed   int
-	Left     int
-	Runs     int
-	Faults   map[string]int
-	Problems []string
+	Sends   int
+	Served  int
+	Refused int
+	Failed  int
+	Left    int
+	Runs    int
+	// Kept counts requests on kept connections, Stops planned stops that ended,
+	// and the rest what stops did to such requests: Crossed were closed before they
+	// were read, Unanswered ran without an answer, Dropped were read and not run.
+	Kept       int
+	Stops      int
+	Crossed    int
+	Unanswered int
+	Dropped    int
+	Faults     map[string]int
+	Problems   []string
 }
 
 // String is one line.
@@ -46,8 +54,8 @@
 	for _, cnt := range rep.Faults {
 		num += cnt
 	}
-	return fmt.Sprintf("%d requests: %d served, %d refused, %d failed, %d left; %d runs; %d faults; %d problems",
-		rep.Sends, rep.Served, rep.Refused, rep.Failed, rep.Left, rep.Runs, num, len(rep.Problems))
+	return fmt.Sprintf("%d requests: %d served, %d refused, %d failed, %d left; %d on kept connections over %d stops: %d crossed, %d unanswered, %d dropped; %d runs; %d faults; %d problems",
+		rep.Sends, rep.Served, rep.Refused, rep.Failed, rep.Left, rep.Kept, rep.Stops, rep.Crossed, rep.Unanswered, rep.Dropped, rep.Runs, num, len(rep.Problems))
 }
 
 // checker holds what is compared.
@@ -56,12 +64,15 @@
 	runs    map[string][]fakes.Run
 	handles map[string]string
 	servers map[string]*server
+	// crossed, unanswered and dropped count kept connections' requests, as in a
+	// report.
+	crossed, unanswered, dropped int
 }
 
 // report compares what callers saw with what servers ran.
 func (fld *Field) report() Report {
 	chk := &checker{fld: fld, runs: fld.jou.All(), handles: map[string]string{}, servers: fld.servers}
-	rep := Report{Faults: fld.faults}
+	rep := Report{Faults: fld.faults, Stops: fld.stops}
 	known := map[string]*send{}
 	for _, snd := range fld.sends {
 		known[snd.id] = snd
@@ -82,12 +93,16 @@
 		rep.count(snd)
 		chk.send(snd)
 	}
+	rep.Crossed, rep.Unanswered, rep.Dropped = chk.crossed, chk.unanswered, chk.dropped
 	sort.Strings(fld.problems)
 	rep.Problems = fld.problems
 	return rep
 }
 
 func (rep *Report) count(snd *send) {
+	if snd.kept {
+		rep.Kept++
+	}
 	switch {
 	case !snd.left.IsZero():
 		rep.Left++
@@ -241,11 +256,8 @@
 	if snd.left.IsZero() && snd.ended.Sub(snd.begun) > timeout+lateBound {
 		fld.problem("CONFIG %s was held %s", snd.id, snd.ended.Sub(snd.begun))
 	}
-	// A request may cross the close of a connection in a planned stop; it hasn't
-	// run then.
-	crossed := len(runs) == 0 && fld.stopping(snd)
-	if snd.left.IsZero() && snd.err != nil && !crossed {
-		fld.problem("LOST %s at %s: %v", snd.id, snd.instance.boot.Name, snd.err)
+	if snd.left.IsZero() && snd.err != nil {
+		chk.broke(snd, runs)
 	}
 	for _, run := range runs {
 		if !snd.left.IsZero() && snd.sort != "once" && run.Ended.After(snd.left.Add(leftBound)) {
@@ -254,6 +266,28 @@
 	}
 }
 
+// broke checks a request whose connection ended under it, though nothing
+// unplanned stood. It may cross the close of the connection in a planned stop: it
+// wasn't read whole then, and hasn't run.
+func (chk *checker) broke(snd *send, runs []fakes.Run) {
+	fld := chk.fld
+	name := snd.instance.boot.Name
+	switch {
+	case len(runs) > 0:
+		if snd.kept {
+			chk.unanswered++
+		}
+		fld.problem("LOST %s (%s) at %s ran at %s and was not answered: %v, %s after it was sent", snd.id, snd.sort, name, runs[0].Server, snd.err, snd.ended.Sub(snd.begun))
+	case !fld.stopping(snd):
+		fld.problem("LOST %s at %s: %v", snd.id, name, snd.err)
+	case snd.kept && !snd.unread:
+		chk.dropped++
+		fld.problem("LOST %s (%s) at %s was read and its connection closed without a word: %v, %s after it was sent", snd.id, snd.sort, name, snd.err, snd.ended.Sub(snd.begun))
+	case snd.kept:
+		chk.crossed++
+	}
+}
+
 // disturbed reports whether anything unplanned stood in a time that concerns an
 // instance, or what was planned with that instance made it stop.
 func (fld *Field) disturbed(from, to time.Time, ins *instance) bool {
--- a/stand/field/fault.go
+++ b/stand/field/fault.go
@@ -4,7 +4,10 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // span is when something was disturbed; an open one has no end yet. Checks
@@ -30,7 +33,10 @@
 	{"instance-killed", false, (*breaker).killInstance},
 	{"instance-stopped", true, (*breaker).stopInstance},
 	{"instance-paused", false, (*breaker).pauseInstance},
+	{"instance-paused-long", false, (*breaker).pauseLong},
 	{"instance-reloaded", true, (*breaker).reloadInstance},
+	{"clock-stepped", true, (*breaker).stepClock},
+	{"clock-behind-at-start", true, (*breaker).startBehind},
 	{"all-killed", false, (*breaker).killAll},
 	{"server-crashed", false, (*breaker).crashServer},
 	{"server-reborn", false, (*breaker).rebearServer},
@@ -61,7 +67,7 @@
 	under := newGate()
 	begun := time.Now()
 	for pause(ctx, time.Duration((0.5+rng.Float64())*float64(fld.opt.Every))) {
-		flt := draw(rng, int(time.Since(begun)/phase)%2 == 1)
+		flt := fld.draw(rng, int(time.Since(begun)/phase)%2 == 1)
 		brk := &breaker{fld: fld, rng: rand.New(rand.NewPCG(rng.Uint64(), 3))}
 		fld.mu.Lock()
 		fld.faults[flt.name]++
@@ -83,13 +89,25 @@
 // which promises with a bound in time can be checked, and the other way round.
 const phase = 12 * time.Second
 
-func draw(rng *rand.Rand, planned bool) fault {
-	for {
-		flt := faults[rng.IntN(len(faults))]
-		if flt.planned || !planned {
-			return flt
+func (fld *Field) draw(rng *rand.Rand, planned bool) fault {
+	var list []fault
+	for _, flt := range faults {
+		wanted := len(fld.opt.Only) == 0 && (flt.planned || !planned)
+		if wanted || slices.Contains(fld.opt.Only, flt.name) {
+			list = append(list, flt)
+		}
+	}
+	return list[rng.IntN(len(list))]
+}
+
+// checkOnly refuses names that no fault has.
+func checkOnly(only []string) error {
+	for _, name := range only {
+		if !slices.ContainsFunc(faults, func(flt fault) bool { return flt.name == name }) {
+			return errors.Errorf("no fault is called %q", name)
 		}
 	}
+	return nil
 }
 
 // open notes that a disturbance begins; the function returned ends it.
--- a/stand/field/field.go
+++ b/stand/field/field.go
@@ -35,8 +35,19 @@
 	Length time.Duration
 	// Instances is the number in each zone.
 	Instances int
+	// Servers multiplies the number of backend servers; 0 is 1.
+	Servers int
 	// Rate is in requests a second.
 	Rate float64
+	// Kept is the number of callers that hold a connection and use it until the
+	// other side ends it; Think is their mean pause between an answer and the next
+	// request.
+	Kept  int
+	Think time.Duration
+	// Procs bounds the processors that an instance uses; 0 doesn't.
+	Procs int
+	// Only names the kinds of faults to draw from; empty is all.
+	Only []string
 	// Every is the mean time between the starts of faults; 0 makes none.
 	Every time.Duration
 	// Dir holds the program, settings and, afterwards, the instances' lines.
@@ -83,6 +94,8 @@
 	changes   []change
 	problems  []string
 	faults    map[string]int
+	// stops counts planned stops that ended.
+	stops int
 }
 
 // instance is one entry instance, over all of its processes.
@@ -92,6 +105,9 @@
 	// link is where the others reach it.
 	link *proxy.Link
 	file string
+	// skew is the file that sets its clock wrong, or empty: the shipped program
+	// has the machine's clock.
+	skew string
 	// busy is set while a fault holds it; rotation is set while callers come.
 	busy     bool
 	rotation bool
@@ -123,6 +139,9 @@
 
 // Start brings everything up and waits until all instances are ready.
 func Start(ctx context.Context, opt Options) (*Field, error) {
+	if err := checkOnly(opt.Only); err != nil {
+		return nil, err
+	}
 	fld := &Field{
 		opt: opt, sto: fakes.NewStore(), jou: &fakes.Journal{}, grp: group.New(ctx), servers: map[string]*server{}, faults: map[string]int{},
 		cli: &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 50, IdleConnTimeout: 5 * time.Second}},
@@ -132,7 +151,7 @@
 		return nil, err
 	}
 	for _, poo := range pools {
-		for num := range len(zones) * poo.count {
+		for num := range len(zones) * poo.count * max(1, opt.Servers) {
 			if err := fld.addServer(poo.service, poo.kind, num%len(zones)); err != nil {
 				return nil, err
 			}
@@ -218,6 +237,9 @@
 	// Runs with different seeds don't share addresses.
 	ip := fmt.Sprintf("127.%d.%d.%d", 100+fld.opt.Seed%100, zone+1, num/len(zones)+1)
 	ins := &instance{zone: zone, file: filepath.Join(fld.opt.Dir, fmt.Sprintf("entry-%d.yaml", num+1))}
+	if num%2 == 1 {
+		ins.skew = ins.file + ".skew"
+	}
 	ins.boot = fakes.Boot{Name: fmt.Sprintf("entry-%d", num+1), IP: ip, Zone: zones[zone], Store: fld.storeLink.Address(), Grace: grace}
 	var err error
 	if ins.link, err = proxy.NewLink(fld.grp.Context(), ins.boot.Peers()); err != nil {
@@ -239,8 +261,16 @@
 
 // begin starts an instance's process.
 func (fld *Field) begin(ins *instance) error {
+	path := filepath.Join(fld.opt.Dir, "lovagestream")
 	args := []string{"edge", "-settings", ins.file, "-told", ins.link.Address()}
-	prc, _, err := world.Start(ins.boot.Name, filepath.Join(fld.opt.Dir, "lovagestream"), args, started)
+	if ins.skew != "" {
+		path = filepath.Join(fld.opt.Dir, "lovagestand")
+		args = append([]string{"entry", "-skew", ins.skew}, args[1:]...)
+	}
+	if fld.opt.Procs > 0 {
+		path, args = "/usr/bin/env", append([]string{"GOMAXPROCS=" + itoa(fld.opt.Procs), path}, args...)
+	}
+	prc, _, err := world.Start(ins.boot.Name, path, args, started)
 	if err != nil {
 		return err
 	}
--- a/stand/field/run.go
+++ b/stand/field/run.go
@@ -31,6 +31,7 @@
 	defer stop()
 	callers := group.New(ctx)
 	callers.Go(func(context.Context) error { return fld.callers(sending) })
+	fld.keepers(sending, callers)
 	breaking, cancel := context.WithTimeout(ctx, fld.opt.Length)
 	defer cancel()
 	if fld.opt.Every > 0 {
--- a/stand/field/send.go
+++ b/stand/field/send.go
@@ -25,6 +25,10 @@
 	got    string
 	err    error
 	done   bool
+	// kept is a request on a connection that its caller keeps; unread is set where
+	// the other side closed it before it had read the request whole.
+	kept   bool
+	unread bool
 }
 
 // sorts are drawn with equal chance.
--- /dev/null
+++ b/stand/skew/skew_test.go
@@ -0,0 +1,44 @@
+package skew
+
+import (
+	"context"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lovagestream/io/group"
+)
+
+// The time of day jumps back by ten seconds; what has passed stays right, also
+// in sums and comparisons with times of before.
+func TestJump(t *testing.T) {
+	clk := &Clock{}
+	before := clk.Now()
+	clk.Set(-10 * time.Second)
+	after := clk.Now()
+	require.InDelta(t, -10, float64(after.UnixMilli()-before.UnixMilli())/1000, 1)
+	passed := after.Sub(before)
+	require.GreaterOrEqual(t, passed, time.Duration(0))
+	require.Less(t, passed, time.Second)
+	require.True(t, after.Add(time.Second).After(before.Add(500*time.Millisecond)))
+	require.InDelta(t, 0, time.Until(after).Seconds(), 1)
+}
+
+// A clock follows its file: forward, back, and right again without one.
+func TestFollow(t *testing.T) {
+	clk := &Clock{}
+	path := filepath.Join(t.TempDir(), "skew")
+	ctx, cancel := context.WithCancel(context.Background())
+	grp := group.New(ctx)
+	grp.Go(func(ctx context.Context) error { return clk.Follow(ctx, path) })
+	for _, by := range []time.Duration{5 * time.Second, -3 * time.Second} {
+		require.NoError(t, Write(path, by))
+		require.Eventually(t, func() bool { return clk.Now().Round(0).Sub(time.Now().Round(0)).Round(time.Second) == by }, 5*time.Second, time.Millisecond)
+	}
+	cancel()
+	require.NoError(t, grp.Wait())
+	require.NoError(t, clk.Read(filepath.Join(t.TempDir(), "none")))
+	require.Zero(t, clk.by.Load())
+}
