--- a/stand/field/field_test.go
+++ b/stand/field/field_test.go
@@ -3,8 +3,7 @@
 import (
 	"bytes"
 	"context"
-	"os"
-	"os/exec"
+	"io"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -14,16 +13,15 @@
 	"github.com/stretchr/testify/require"
 
 	"lovagestream/platform/fakes"
+	"lovagestream/stand/world"
 )
 
 // A short run with real processes and faults of one seed.
 func TestShortSoak(t *testing.T) {
 	dir := t.TempDir()
-	cmd := exec.Command("go", "build", "-o", dir, "lovagestream/cmd/lovagestream")
-	cmd.Stderr = os.Stderr
-	require.NoError(t, cmd.Run())
+	require.NoError(t, world.Build(dir))
 	var out bytes.Buffer
-	rep, err := Run(context.Background(), Options{Seed: 1, Length: 14 * time.Second, Instances: 1, Rate: 20, Every: 1500 * time.Millisecond, Dir: dir, Out: &out})
+	rep, err := Run(context.Background(), Options{Seed: 1, Length: 14 * time.Second, Instances: 1, Rate: 20, Kept: 12, Think: 100 * time.Millisecond, Every: 1500 * time.Millisecond, Dir: dir, Out: &out})
 	require.NoError(t, err)
 	require.Empty(t, rep.Problems, "%s", out.String())
 	require.Greater(t, rep.Served, rep.Sends/2)
@@ -59,6 +57,12 @@
 	return fld, sends
 }
 
+// cross ends a kept connection under a request, in a planned stop.
+func cross(fld *Field, snd *send) {
+	snd.kept, snd.err, snd.status, snd.signer, snd.got = true, io.ErrUnexpectedEOF, 0, "", ""
+	fld.spans = append(fld.spans, span{from: snd.begun, planned: true, instance: snd.instance})
+}
+
 // Each promise broken by hand is found, and nothing is found in a sound run.
 func TestPlantedProblems(t *testing.T) {
 	run := func(id, server string) fakes.Run {
@@ -94,11 +98,30 @@
 			fld.jou.Note(run("often", "plain"))
 			fld.spans = append(fld.spans, span{from: time.Now().Add(-5 * time.Second)})
 		}},
-		"left long ago": {"DRAIN", func(fld *Field, _ map[string]*send) { fld.servers["plain"].left = time.Now().Add(-5 * time.Second) }},
-		"left just now": {"", func(fld *Field, _ map[string]*send) { fld.servers["plain"].left = time.Now().Add(-time.Second) }},
-		"broke off":     {"LOST", func(_ *Field, sends map[string]*send) { sends["once"].err = errors.New("reset") }},
-		"held":          {"CONFIG", func(_ *Field, sends map[string]*send) { sends["once"].ended = sends["once"].begun.Add(5 * time.Second) }},
-		"never ended":   {"LOST", func(_ *Field, sends map[string]*send) { sends["once"].done = false }},
+		"left long ago":                       {"DRAIN", func(fld *Field, _ map[string]*send) { fld.servers["plain"].left = time.Now().Add(-5 * time.Second) }},
+		"left just now":                       {"", func(fld *Field, _ map[string]*send) { fld.servers["plain"].left = time.Now().Add(-time.Second) }},
+		"broke off":                           {"LOST", func(_ *Field, sends map[string]*send) { sends["once"].err = errors.New("reset") }},
+		"held":                                {"CONFIG", func(_ *Field, sends map[string]*send) { sends["once"].ended = sends["once"].begun.Add(5 * time.Second) }},
+		"never ended":                         {"LOST", func(_ *Field, sends map[string]*send) { sends["once"].done = false }},
+		"ran in a planned stop, not answered": {"LOST", func(fld *Field, sends map[string]*send) { cross(fld, sends["once"]) }},
+		"read in a planned stop, not answered": {"LOST", func(fld *Field, sends map[string]*send) {
+			cross(fld, sends["once"])
+			fld.jou = &fakes.Journal{}
+		}},
+		"not read in a planned stop": {"", func(fld *Field, sends map[string]*send) {
+			cross(fld, sends["once"])
+			sends["once"].unread = true
+			fld.jou, fld.sends = &fakes.Journal{}, fld.sends[:1]
+		}},
+		"not read without a stop": {"LOST", func(fld *Field, sends map[string]*send) {
+			cross(fld, sends["once"])
+			sends["once"].unread = true
+			fld.jou, fld.sends, fld.spans = &fakes.Journal{}, fld.sends[:1], nil
+		}},
+		"ran in a planned stop, store down": {"", func(fld *Field, sends map[string]*send) {
+			cross(fld, sends["once"])
+			fld.spans = append(fld.spans, span{from: time.Now().Add(-5 * time.Second)})
+		}},
 		"caller had left": {"GONE", func(_ *Field, sends map[string]*send) {
 			sends["bare"].left = sends["bare"].begun.Add(-2 * time.Second)
 		}},
--- /dev/null
+++ b/stand/field/kept_test.go
@@ -0,0 +1,74 @@
+package field
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lovagestream/io/group"
+	"lovagestream/platform/fakes"
+)
+
+// A caller's request met the end of its kept connection. Whether the other side
+// had read it by then decides whether the caller may send it again, and the end
+// of the connection looks the same both ways.
+func TestKeptTellsWhatWasRead(t *testing.T) {
+	t.Parallel()
+	for name, cas := range map[string]struct {
+		unread bool
+		end    func(con *net.TCPConn)
+	}{
+		"closed before": {true, func(con *net.TCPConn) { _ = con.Close() }},
+		"closed with the request unread": {true, func(con *net.TCPConn) {
+			time.Sleep(50 * time.Millisecond)
+			_ = con.Close()
+		}},
+		"ended its sending, and closed later with the request unread": {true, func(con *net.TCPConn) {
+			_ = con.CloseWrite()
+			time.Sleep(500 * time.Millisecond)
+			_ = con.Close()
+		}},
+		"read a part": {true, func(con *net.TCPConn) {
+			_, _ = con.Read(make([]byte, 10))
+			time.Sleep(50 * time.Millisecond)
+			_ = con.Close()
+		}},
+		"read whole": {false, func(con *net.TCPConn) {
+			req, err := http.ReadRequest(bufio.NewReader(con))
+			if err == nil {
+				_, _ = io.Copy(io.Discard, req.Body)
+			}
+			_ = con.Close()
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			lis, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer func() { _ = lis.Close() }()
+			grp := group.New(context.Background())
+			grp.Go(func(context.Context) error {
+				con, err := lis.Accept()
+				if err == nil {
+					cas.end(con.(*net.TCPConn))
+				}
+				return err
+			})
+			con, err := net.Dial("tcp", lis.Addr().String())
+			require.NoError(t, err)
+			defer func() { _ = con.Close() }()
+			kpt := &kept{fld: &Field{}, con: con.(*net.TCPConn), rdr: bufio.NewReader(con), instance: &instance{boot: fakes.Boot{IP: "127.0.0.1"}}}
+			snd := &send{id: "k1", sort: "once", body: "b"}
+			require.False(t, kpt.ask(context.Background(), snd))
+			require.Error(t, snd.err)
+			require.Equal(t, cas.unread, snd.unread, "%v", snd.err)
+			require.NoError(t, grp.Wait())
+		})
+	}
+}
