--- a/stand/field/check.go
+++ b/stand/field/check.go
@@ -274,7 +274,8 @@
 	name := snd.instance.boot.Name
 	switch {
 	case len(runs) > 0:
-		if snd.kept {
+		// Past its deadline it is a problem as well, though not a stop's.
+		if snd.kept && snd.ended.Sub(snd.begun) < timeout {
 			chk.unanswered++
 		}
 		fld.problem("LOST %s (%s) at %s ran at %s and was not answered: %v, %s after it was sent", snd.id, snd.sort, name, runs[0].Server, snd.err, snd.ended.Sub(snd.begun))
--- a/stand/field/instances.go
+++ b/stand/field/instances.go
@@ -76,7 +76,13 @@
 	return brk.onInstance("instance-stopped", true, func(ins *instance) error { return brk.restart(ctx, ins) })
 }
 
+// restart waits first until the instance was ready, or should have been: in the
+// milliseconds before its program listens to signals, one ends it with the
+// signal's own code, and no caller is there yet.
 func (brk *breaker) restart(ctx context.Context, ins *instance) error {
+	for end := time.Now().Add(startWait); !brk.fld.ready(ctx, ins) && time.Now().Before(end); {
+		pause(ctx, lookEvery/10)
+	}
 	begun := time.Now()
 	ins.prc.Terminate()
 	code, err := ins.prc.Wait()
@@ -106,6 +112,9 @@
 }
 
 const (
+	// startWait is how long an instance may take to be ready before it is stopped
+	// all the same.
+	startWait = 3 * time.Second
 	// longPause is past every bound on a silent member, link or lease.
 	longPause = 7 * time.Second
 	// mostSkew is how far a time of day jumps at most, one way or the other.
