--- a/stand/field/field.go
+++ b/stand/field/field.go
@@ -11,6 +11,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -83,6 +84,10 @@
 	cli *http.Client
 	// storeLink leads to the store.
 	storeLink *proxy.Link
+	// network is the second part of the instances' addresses; held is the listener
+	// that keeps other runs on the machine from it.
+	network int
+	held    net.Listener
 
 	mu        sync.Mutex
 	instances []*instance
@@ -146,7 +151,10 @@
 		opt: opt, sto: fakes.NewStore(), jou: &fakes.Journal{}, grp: group.New(ctx), servers: map[string]*server{}, faults: map[string]int{},
 		cli: &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 50, IdleConnTimeout: 5 * time.Second}},
 	}
-	var err error
+	err := fld.claim()
+	if err != nil {
+		return nil, err
+	}
 	if fld.storeLink, err = proxy.NewLink(ctx, fld.sto.Address()); err != nil {
 		return nil, err
 	}
@@ -234,8 +242,7 @@
 
 func (fld *Field) addInstance(num int) error {
 	zone := num % len(zones)
-	// Runs with different seeds don't share addresses.
-	ip := fmt.Sprintf("127.%d.%d.%d", 100+fld.opt.Seed%100, zone+1, num/len(zones)+1)
+	ip := fld.source(zone) + itoa(num/len(zones)+1)
 	ins := &instance{zone: zone, file: filepath.Join(fld.opt.Dir, fmt.Sprintf("entry-%d.yaml", num+1))}
 	if num%2 == 1 {
 		ins.skew = ins.file + ".skew"
@@ -335,6 +342,7 @@
 		ser.fake.Close()
 	}
 	fld.sto.Close()
+	_ = fld.held.Close()
 }
 
 // problem notes something that must not be.
