--- a/stand/field/run.go
+++ b/stand/field/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"regexp"
 	"time"
 
 	"lovagestream/io/group"
@@ -20,6 +21,7 @@
 			fld.problem("%s ended by itself", ins.boot.Name)
 		}
 	}
+	fld.agreed()
 	fld.Stop()
 	return fld.report(), nil
 }
@@ -52,6 +54,25 @@
 	}
 }
 
+var deskMoved = regexp.MustCompile(`"msg":"desk-moved".*"to":"([^"]*)"`)
+
+// agreed checks that all instances take the same one for the one that forms the
+// calls to stage servers. It follows from when they started, by their own
+// clocks: it must not matter that these are wrong.
+func (fld *Field) agreed() {
+	desks := map[string][]string{}
+	for _, ins := range fld.instances {
+		desk := ins.link.Address()
+		if all := deskMoved.FindAllStringSubmatch(ins.prc.Log(), -1); len(all) > 0 {
+			desk = all[len(all)-1][1]
+		}
+		desks[desk] = append(desks[desk], ins.boot.Name)
+	}
+	if len(desks) > 1 {
+		fld.problem("DESK instances disagree once calm: %v", desks)
+	}
+}
+
 // answered waits until all callers have their answers.
 func (fld *Field) answered(ctx context.Context) {
 	for end := time.Now().Add(answerWait + time.Second); time.Now().Before(end) && fld.waiting(); {
