--- a/stand/field/check.go
+++ b/stand/field/check.go
@@ -85,7 +85,7 @@
 				chk.handles[run.Handle] = id
 			}
 			if known[id] == nil {
-				fld.problem("UNASKED %s ran at %s, and nobody asked for it", id, run.Server)
+				fld.problem("UNASKED %q ran at %s, and nobody asked for it: %s %s %v", id, run.Server, run.Method, run.Target, run.Header)
 			}
 		}
 	}
