--- a/stand/field/fault.go
+++ b/stand/field/fault.go
@@ -90,13 +90,19 @@
 const phase = 12 * time.Second
 
 func (fld *Field) draw(rng *rand.Rand, planned bool) fault {
-	var list []fault
+	var all, list []fault
 	for _, flt := range faults {
-		wanted := len(fld.opt.Only) == 0 && (flt.planned || !planned)
-		if wanted || slices.Contains(fld.opt.Only, flt.name) {
+		if len(fld.opt.Only) > 0 && !slices.Contains(fld.opt.Only, flt.name) {
+			continue
+		}
+		all = append(all, flt)
+		if flt.planned || !planned {
 			list = append(list, flt)
 		}
 	}
+	if len(list) == 0 {
+		list = all
+	}
 	return list[rng.IntN(len(list))]
 }
 
--- a/stand/field/run.go
+++ b/stand/field/run.go
@@ -62,10 +62,7 @@
 func (fld *Field) agreed() {
 	desks := map[string][]string{}
 	for _, ins := range fld.instances {
-		desk := ins.link.Address()
-		if all := deskMoved.FindAllStringSubmatch(ins.prc.Log(), -1); len(all) > 0 {
-			desk = all[len(all)-1][1]
-		}
+		desk := deskOf(ins.link.Address(), ins.prc.Log())
 		desks[desk] = append(desks[desk], ins.boot.Name)
 	}
 	if len(desks) > 1 {
@@ -73,6 +70,14 @@
 	}
 }
 
+// deskOf is whom a process takes for that one, by its lines: itself at first.
+func deskOf(own, log string) string {
+	if all := deskMoved.FindAllStringSubmatch(log, -1); len(all) > 0 {
+		return all[len(all)-1][1]
+	}
+	return own
+}
+
 // answered waits until all callers have their answers.
 func (fld *Field) answered(ctx context.Context) {
 	for end := time.Now().Add(answerWait + time.Second); time.Now().Before(end) && fld.waiting(); {
