--- a/stand/drill/event.go
+++ b/stand/drill/event.go
@@ -9,6 +9,7 @@
 
 	"lovagestream/core"
 	"lovagestream/core/fleet"
+	"lovagestream/io/clock"
 )
 
 // cost is what the fleet has used so far.
@@ -120,12 +121,7 @@
 }
 
 func sleep(ctx context.Context, length time.Duration) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(length):
-		return nil
-	}
+	return clock.System{}.Sleep(ctx, length)
 }
 
 // load gives every instance demand on some accounts, together well below the
--- a/stand/field/field.go
+++ b/stand/field/field.go
@@ -22,6 +22,7 @@
 
 	"github.com/pkg/errors"
 
+	"lovagestream/io/clock"
 	"lovagestream/io/group"
 	"lovagestream/platform/fakes"
 	"lovagestream/stand/proxy"
@@ -354,14 +355,7 @@
 
 // pause waits, and reports whether the context still stands.
 func pause(ctx context.Context, wait time.Duration) bool {
-	tmr := time.NewTimer(wait)
-	defer tmr.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-tmr.C:
-		return true
-	}
+	return clock.System{}.Sleep(ctx, wait) == nil
 }
 
 func itoa(num int) string { return strconv.Itoa(num) }
--- a/stand/proxy/proxy.go
+++ b/stand/proxy/proxy.go
@@ -16,6 +16,7 @@
 
 	"github.com/pkg/errors"
 
+	"lovagestream/io/clock"
 	"lovagestream/io/group"
 )
 
@@ -285,15 +286,5 @@
 }
 
 func sleep(ctx context.Context, wait time.Duration) bool {
-	if wait == 0 {
-		return true
-	}
-	tmr := time.NewTimer(wait)
-	defer tmr.Stop()
-	select {
-	case <-tmr.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return wait == 0 || clock.System{}.Sleep(ctx, wait) == nil
 }
--- a/stand/soak/soak.go
+++ b/stand/soak/soak.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 
 	"lovagestream/core/result"
+	"lovagestream/io/clock"
 	"lovagestream/io/group"
 	"lovagestream/stand/audit"
 	"lovagestream/stand/world"
@@ -179,14 +180,7 @@
 
 // pause waits, and reports whether the context still stands.
 func pause(ctx context.Context, wait time.Duration) bool {
-	tmr := time.NewTimer(wait)
-	defer tmr.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-tmr.C:
-		return true
-	}
+	return clock.System{}.Sleep(ctx, wait) == nil
 }
 
 // caller is one client with its request and, where needed, its resends.
