--- a/io/entry/body.go
+++ b/io/entry/body.go
@@ -57,11 +57,17 @@
 
 // sever denies a request whose body was not read to its end. The connection ends
 // with the answer: what comes on it is the rest of that body, and would be
-// taken for the next request. After the answer, the HTTP server reads on so that
-// a caller which still sends isn't reset before it has read the answer; without
-// a bound, one that sends nothing more would hold the connection there.
+// taken for the next request.
 func (vis *visit) sever(status int, reason string, err error) bool {
-	_ = http.NewResponseController(vis.wri).SetReadDeadline(vis.srv.clk.Now().Add(restTime))
+	vis.boundRest()
 	vis.wri.Header().Set("Connection", "close")
 	return vis.deny(status, reason, err)
 }
+
+// boundRest bounds the reading of what is left of a body that is refused.
+// Around the answer, the HTTP server reads on so that a caller which still
+// sends isn't reset before it has read the answer; without a bound, one that
+// sends nothing more would hold the connection there.
+func (vis *visit) boundRest() {
+	_ = http.NewResponseController(vis.wri).SetReadDeadline(vis.srv.clk.Now().Add(restTime))
+}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -163,20 +163,33 @@
 	if fault == nil {
 		vis.req = req
 	}
-	if htr.ContentLength > lim.Body {
-		// Nobody needs to send or keep what is refused anyway.
-		return vis.head(htr, lim, htr.ContentLength, fault)
+	if err := frame.Check(htr); err != nil {
+		return vis.sever(http.StatusBadRequest, "malformed", err)
+	}
+	early := htr.ContentLength > lim.Body || asks(htr)
+	if early && !vis.head(htr, lim, htr.ContentLength, fault) {
+		vis.boundRest()
+		return false
 	}
 	body, ok := vis.body(htr, lim.Body)
-	if !ok || !vis.head(htr, lim, int64(len(body)), fault) {
+	if !ok || !early && !vis.head(htr, lim, int64(len(body)), fault) {
 		return false
 	}
+	if int64(len(body)) > lim.Body {
+		return vis.sever(http.StatusRequestEntityTooLarge, "body-too-large", nil)
+	}
 	vis.req.Body = body
 	return vis.route()
 }
 
-// head checks a request up to its route; fault is what its decoder found, size
-// its body's length in bytes.
+// asks tells a caller that sends its body only once it is asked to: what is
+// refused by its head alone must be, before it sends for nothing.
+func asks(htr *http.Request) bool {
+	return strings.EqualFold(htr.Header.Get("Expect"), "100-continue")
+}
+
+// head checks a request by its head; fault is what its decoder found, size its
+// body's length in bytes as far as it is known.
 func (vis *visit) head(htr *http.Request, lim table.Limits, size int64, fault error) bool {
 	switch {
 	case fault != nil:
@@ -190,7 +203,7 @@
 	case size > lim.Body:
 		return vis.sever(http.StatusRequestEntityTooLarge, "body-too-large", nil)
 	}
-	return true
+	return vis.find()
 }
 
 func headSize(hdr http.Header) int {
@@ -203,7 +216,8 @@
 	return num
 }
 
-func (vis *visit) route() bool {
+// find looks the route and the client account up.
+func (vis *visit) find() bool {
 	tab := vis.viw.Table
 	vis.rou = tab.Match(vis.req.Host, vis.req.Path)
 	if vis.rou == nil {
@@ -214,6 +228,12 @@
 		return vis.deny(http.StatusUnauthorized, "unknown-credential", nil)
 	}
 	vis.acc = acc
+	return true
+}
+
+// route settles what the route and the client account say of the request.
+func (vis *visit) route() bool {
+	acc := vis.acc
 	vis.priority = vis.rou.Priority
 	account := ""
 	if acc != nil {
--- a/io/frame/frame.go
+++ b/io/frame/frame.go
@@ -107,10 +107,49 @@
 // Last reports whether a request must be the last one on its connection: it
 // came in chunks, and may have had a length too. On a connection that nobody
 // watches, every request in chunks may.
+//
+// So must every request of HTTP/1.0, which knows no chunks: the HTTP server
+// drops the field, and whoever goes by it sees another end of the request.
 func Last(htr *http.Request) bool {
+	if !htr.ProtoAtLeast(1, 1) {
+		return true
+	}
 	if len(htr.TransferEncoding) == 0 {
 		return false
 	}
 	wat, watched := htr.Context().Value(contextKey{}).(*Watch)
 	return !watched || wat.Both()
 }
+
+// RequestError is what Go's HTTP server takes for a request and what must not
+// run as one.
+type RequestError struct {
+	// Problem says what is wrong with it.
+	Problem string
+}
+
+// Error names the problem.
+func (err *RequestError) Error() string { return err.Problem }
+
+// Check returns a *RequestError for what must not run; its connection must end
+// with the answer. What is refused shows otherwise as bytes behind it that are
+// taken for requests (a tunnel's, another protocol's) or as a run without the
+// body that its caller sent (HTTP/1.0 in chunks, whose field the HTTP server
+// drops).
+func Check(htr *http.Request) error {
+	_, told := htr.Header["Content-Length"]
+	switch {
+	case htr.Method == http.MethodConnect:
+		return &RequestError{Problem: "method: there are no tunnels"}
+	case htr.ProtoMajor > 1 && htr.Method == "PRI":
+		return &RequestError{Problem: "version: want HTTP/1.1"}
+	case !htr.ProtoAtLeast(1, 1) && !told && hasBody(htr.Method):
+		return &RequestError{Problem: "Content-Length: a body in HTTP/1.0 needs one"}
+	}
+	return nil
+}
+
+// hasBody tells methods whose requests come with a body (RFC 1945, 8.3).
+func hasBody(method string) bool {
+	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
+}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -131,6 +131,11 @@
 		if frame.Last(hrq) {
 			wri.Header().Set("Connection", "close")
 		}
+		if err := frame.Check(hrq); err != nil {
+			wri.Header().Set("Connection", "close")
+			srv.refuseAll(result.BadRequest, err.Error()).ServeHTTP(wri, hrq)
+			return
+		}
 		rtr.ServeHTTP(wri, hrq)
 	})
 }
@@ -171,9 +176,7 @@
 	vis, hrq := srv.enterVisit(wri, hrq)
 	id, rfl := srv.requestID(hrq)
 	defer srv.leaveVisit(vis, id)
-	// Before it answers a refusal, the server reads what is left of the body.
-	// Without a bound, a caller that sends nothing more would hold it there.
-	_ = http.NewResponseController(wri).SetReadDeadline(vis.arrived.Add(srv.opt.writeBound))
+	srv.boundRead(wri, vis.arrived)
 	if rfl != nil {
 		writeProblem(vis, id, srv.unproved(hrq, rfl))
 		return
@@ -194,6 +197,13 @@
 	srv.admit(vis, hrq, req)
 }
 
+// boundRead bounds the reading of a body that may be refused: around the answer
+// to it, the HTTP server reads what is left. Without a bound, a caller that
+// sends nothing more would hold it there.
+func (srv *Server) boundRead(wri http.ResponseWriter, now time.Time) {
+	_ = http.NewResponseController(wri).SetReadDeadline(now.Add(srv.opt.writeBound))
+}
+
 // admit finds room for a request and runs it.
 func (srv *Server) admit(vis *visit, hrq *http.Request, req *runner.Request) {
 	id := req.ID()
@@ -226,6 +236,7 @@
 // refuseAll answers every request in the one format of errors.
 func (srv *Server) refuseAll(reason result.Reason, detail string) http.Handler {
 	return http.HandlerFunc(func(wri http.ResponseWriter, hrq *http.Request) {
+		srv.boundRead(wri, srv.clk.Now())
 		id, rfl := srv.requestID(hrq)
 		if rfl == nil {
 			rfl = refuse(reason, 0, detail)
--- a/io/front/keys.go
+++ b/io/front/keys.go
@@ -45,12 +45,13 @@
 // issue hands a client account a batch of keys. It may be repeated at will:
 // keys that nobody uses cost nothing.
 func (srv *Server) issue(wri http.ResponseWriter, hrq *http.Request) {
+	srv.boundRead(wri, srv.clk.Now())
 	id, rfl := srv.requestID(hrq)
 	if rfl != nil {
 		writeProblem(wri, id, rfl)
 		return
 	}
-	batch, rfl := srv.batch(hrq)
+	batch, rfl := srv.batch(wri, hrq)
 	if rfl != nil {
 		writeProblem(wri, id, rfl)
 		return
@@ -62,7 +63,7 @@
 	_ = json.NewEncoder(wri).Encode(issueBody{Keys: batch, Lifetime: int(srv.clm.Lifetime().Seconds())})
 }
 
-func (srv *Server) batch(hrq *http.Request) ([]string, *result.Refusal) {
+func (srv *Server) batch(wri http.ResponseWriter, hrq *http.Request) ([]string, *result.Refusal) {
 	doc := srv.vws.View().Config()
 	if doc == nil {
 		return nil, refuse(result.NotReady, time.Second, "no configuration is in force yet")
@@ -75,6 +76,9 @@
 	if rfl != nil {
 		return nil, rfl
 	}
+	// The body is there; a read that failed by its bound would look like a
+	// caller that left.
+	_ = http.NewResponseController(wri).SetReadDeadline(time.Time{})
 	ctx, cancel := context.WithTimeout(hrq.Context(), issueBound)
 	defer cancel()
 	batch, err := srv.clm.Issue(ctx, acc.Name(), count)
--- a/io/front/odd_test.go
+++ b/io/front/odd_test.go
@@ -26,8 +26,9 @@
 func (ent *entry) crudePlace() crude.Place {
 	return crude.Place{
 		Side: crude.Own, Address: ent.nod.CallersAddress(), Path: "/v1/pipelines/test",
-		Head: "Authorization: Bearer caller-token\r\n",
-		Soon: front.HeaderDeadline + ": 300ms\r\n",
+		Head:   "Authorization: Bearer caller-token\r\n",
+		Nobody: "Authorization: Bearer other\r\n",
+		Soon:   front.HeaderDeadline + ": 300ms\r\n",
 		Seen: func() crude.Seen {
 			// A run is one call of each stage; a part of a run counts as one.
 			const stages = 3
--- a/io/front/read.go
+++ b/io/front/read.go
@@ -118,9 +118,7 @@
 	_ = ctl.SetReadDeadline(deadline)
 	raw, err := io.ReadAll(io.LimitReader(hrq.Body, srv.opt.maxBody+1))
 	if err == nil && int64(len(raw)) > srv.opt.maxBody {
-		// The HTTP server reads some of the rest after the answer. Without a
-		// near bound, a caller that sends nothing more would hold it there.
-		_ = ctl.SetReadDeadline(srv.clk.Now().Add(srv.opt.writeBound))
+		srv.boundRead(wri, srv.clk.Now())
 		return nil, tooLarge
 	}
 	if err == nil {
--- a/stand/crude/play.go
+++ b/stand/crude/play.go
@@ -26,6 +26,8 @@
 	// Path is one that runs, Head the fields that it needs, each ended by CRLF.
 	Path string
 	Head string
+	// Nobody is Head with a credential that nobody has.
+	Nobody string
 	// Soon is the field of a caller that waits for 300 ms, ended by CRLF.
 	Soon string
 	// Seen tells what backend servers got since it was last asked.
@@ -82,26 +84,52 @@
 	plc Place
 }
 
+// send carries the steps out. Bytes of steps that follow each other go out in
+// one piece, as callers send them.
 func (tlk *talk) send(steps []step) error {
 	_ = tlk.con.SetDeadline(time.Now().Add(patience))
+	var out strings.Builder
 	for _, stp := range steps {
-		time.Sleep(stp.wait)
+		_, _ = tlk.fill().WriteString(&out, stp.bytes)
 		if stp.bytes != "" {
-			txt := strings.NewReplacer("{path}", tlk.plc.Path, "{head}\r\n", tlk.plc.Head, "{soon}\r\n", tlk.plc.Soon).Replace(stp.bytes)
-			if _, err := io.WriteString(tlk.con, txt); err != nil {
-				// The other side may have closed, which judge finds out.
-				return nil //nolint:nilerr // see above
-			}
+			continue
 		}
-		if stp.half {
-			if err := tlk.con.CloseWrite(); err != nil {
-				return errors.Wrap(err, "half-close")
-			}
+		if err := tlk.flush(&out); err != nil {
+			return err
 		}
-		if stp.interim > 0 {
-			if got := tlk.answer(); got != stp.interim {
-				return errors.Errorf("answer %d instead of the interim %d", got, stp.interim)
-			}
+		if err := tlk.pause(stp); err != nil {
+			return err
+		}
+	}
+	return tlk.flush(&out)
+}
+
+func (tlk *talk) fill() *strings.Replacer {
+	plc := tlk.plc
+	return strings.NewReplacer("{path}", plc.Path, "{head}\r\n", plc.Head, "{soon}\r\n", plc.Soon, "{nobody}\r\n", plc.Nobody)
+}
+
+// flush sends what was gathered. If the other side has closed meanwhile, judge
+// finds out what came before.
+func (tlk *talk) flush(out *strings.Builder) error {
+	_, err := io.WriteString(tlk.con, out.String())
+	out.Reset()
+	var nerr net.Error
+	if errors.As(err, &nerr) && nerr.Timeout() {
+		return errors.Wrap(err, "send")
+	}
+	return nil
+}
+
+// pause does what a step does beside sending.
+func (tlk *talk) pause(stp step) error {
+	time.Sleep(stp.wait)
+	if stp.half {
+		return errors.Wrap(tlk.con.CloseWrite(), "half-close")
+	}
+	if stp.interim > 0 {
+		if got := tlk.answer(); got != stp.interim {
+			return errors.Errorf("answer %d instead of the interim %d", got, stp.interim)
 		}
 	}
 	return nil
