--- a/stand/crude/play.go
+++ b/stand/crude/play.go
@@ -77,6 +77,15 @@
 	return nil
 }
 
+// Bytes returns all that a case sends.
+func (cas *Case) Bytes(plc Place) []byte {
+	var out strings.Builder
+	for _, stp := range cas.steps {
+		_, _ = plc.fill().WriteString(&out, stp.bytes)
+	}
+	return []byte(out.String())
+}
+
 // talk is one connection of the caller.
 type talk struct {
 	con *net.TCPConn
@@ -90,7 +99,7 @@
 	_ = tlk.con.SetDeadline(time.Now().Add(patience))
 	var out strings.Builder
 	for _, stp := range steps {
-		_, _ = tlk.fill().WriteString(&out, stp.bytes)
+		_, _ = tlk.plc.fill().WriteString(&out, stp.bytes)
 		if stp.bytes != "" {
 			continue
 		}
@@ -104,8 +113,7 @@
 	return tlk.flush(&out)
 }
 
-func (tlk *talk) fill() *strings.Replacer {
-	plc := tlk.plc
+func (plc Place) fill() *strings.Replacer {
 	return strings.NewReplacer("{path}", plc.Path, "{head}\r\n", plc.Head, "{soon}\r\n", plc.Soon, "{nobody}\r\n", plc.Nobody)
 }
 
