A story brings its caller's other attempts

Cause: one of ten refusals expected 8 s while the pools had hardly anything waiting; a caller that was refused and comes back counts as late, but each attempt has its own ID, and no line joined them. Change: the last line of a request that wasn't served bears its fingerprint; a story brings the ends of other attempts with the same one within 12 s, and servers lost with it.

--- a/cmd/lovagestream/story.go
+++ b/cmd/lovagestream/story.go
@@ -18,6 +18,9 @@
 	// it is written once a second.
 	poolsBefore = 2 * time.Second
 	poolsAfter  = time.Second
+	// attempts is how long before a request's end the ends of other attempts of
+	// its caller belong to its story: a refused caller is remembered for 12 s.
+	attempts = 12 * time.Second
 	// mostAlike lines of one kind without the request's ID are shown; of more,
 	// the first stands for all.
 	mostAlike = 4
@@ -35,6 +38,9 @@
 	// instance began anew before it wrote an end.
 	unplaced  bool
 	restarted time.Time
+	// print is the fingerprint that it has in common with its caller's other
+	// attempts, if a line tells.
+	print any
 	// desk is the address of the instance that formed its calls at last, if a
 	// line tells.
 	desk string
@@ -93,6 +99,9 @@
 		case "request-refused":
 			tal.unplaced = true
 		}
+		if ends[lin.kind] {
+			tal.print = lin.fie["print"]
+		}
 		if taken[lin.kind] {
 			tal.taker, tal.ended = lin.from, lin.at
 		}
@@ -149,6 +158,9 @@
 		near := !lin.at.Before(tal.ended.Add(-poolsBefore)) && !lin.at.After(tal.ended.Add(poolsAfter))
 		return tal.unplaced && near && (len(tal.forming) == 0 || tal.forming[lin.from])
 	}
+	if tal.print != nil && lin.fie["print"] == tal.print && lin.at.Before(tal.ended) {
+		return !lin.at.Before(tal.ended.Add(-attempts))
+	}
 	if lin.at.Before(tal.from) || lin.at.After(tal.to) {
 		return false
 	}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -314,6 +314,10 @@
 	if vis.acc != nil {
 		fie["account"] = vis.acc.Name
 	}
+	if status >= http.StatusBadRequest && vis.pri != 0 {
+		// The caller's other attempts have other IDs.
+		fie["print"] = uint64(vis.pri)
+	}
 	vis.status, vis.reason = status, reason
 	vis.count(status, reason)
 	vis.srv.jou.Note(endKind(status), fie)
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -338,6 +338,7 @@
 	last := wld.lines(t, "request-failed")
 	require.Len(t, last, 1)
 	require.Contains(t, last[0], `"server":"`+one.ID+`"`)
+	require.Regexp(t, `"print":[1-9]`, last[0], "what the caller's other attempts have in common")
 }
 
 // A stream that its engine broke off goes on at another engine where the route
