--- a/core/member/member.go
+++ b/core/member/member.go
@@ -143,7 +143,11 @@
 			inf = &info{known: now}
 			set.others[mem.Address] = inf
 		}
-		if mem.Born > inf.Born {
+		// What a member says of itself on an open link is newer than what others
+		// name, also where its clock was set back before it started: its start
+		// looks older than the one before, and whoever took the later one would
+		// hold another for the eldest than the rest does.
+		if mem.Born > inf.Born && !inf.linked {
 			inf.Member = mem
 			inf.known = now
 		}
