The end of one of two links to a member ends the other

If one breaks, what it carried is lost, and the end was told only with the last link, so a request handed over on it waited for its verdict until its time was over.

--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -263,7 +263,10 @@
 	hub.links[lnk.peer.Address] = append(hub.links[lnk.peer.Address], lnk)
 }
 
-// remove reports whether the link was the last to its peer.
+// remove reports whether the link was the last to its peer. If others stand, as
+// after both ends dialled at once, they end with it: what the link carried is
+// lost, and only the end of the last tells both sides so. A request that was
+// handed over on it would wait for its verdict until its time is over.
 func (hub *Hub) remove(lnk *link) bool {
 	hub.mu.Lock()
 	defer hub.mu.Unlock()
@@ -281,6 +284,9 @@
 		return true
 	}
 	hub.links[lnk.peer.Address] = list
+	for _, oth := range list {
+		oth.cancel()
+	}
 	return false
 }
 
--- /dev/null
+++ b/io/mesh/twolinks_test.go
@@ -0,0 +1,98 @@
+package mesh
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"lovagestream/core/member"
+	"lovagestream/io/clock"
+	"lovagestream/io/group"
+	"lovagestream/io/mesh/wire"
+)
+
+// fakeStream is one link's stream, which can break at its next message.
+type fakeStream struct {
+	ctx    context.Context
+	mu     sync.Mutex
+	sent   int
+	greets bool
+	broken bool
+}
+
+func (stm *fakeStream) Send(*wire.Envelope) error {
+	stm.mu.Lock()
+	defer stm.mu.Unlock()
+	if stm.broken {
+		return errors.New("connection reset by peer")
+	}
+	stm.sent++
+	return nil
+}
+
+func (stm *fakeStream) Recv() (*wire.Envelope, error) {
+	if !stm.greets {
+		stm.greets = true
+		return &wire.Envelope{Body: &wire.Envelope_Hello{Hello: &wire.Hello{Self: &wire.Member{Address: "peer", Born: 1}}}}, nil
+	}
+	<-stm.ctx.Done()
+	return nil, stm.ctx.Err()
+}
+
+func (stm *fakeStream) breaks() {
+	stm.mu.Lock()
+	defer stm.mu.Unlock()
+	stm.broken = true
+}
+
+func (stm *fakeStream) count() int {
+	stm.mu.Lock()
+	defer stm.mu.Unlock()
+	return stm.sent
+}
+
+// fakeSink counts.
+type fakeSink struct {
+	mu               sync.Mutex
+	linked, unlinked int
+}
+
+func (snk *fakeSink) Linked(member.Member) { snk.mu.Lock(); defer snk.mu.Unlock(); snk.linked++ }
+func (snk *fakeSink) Unlinked(string, error) {
+	snk.mu.Lock()
+	defer snk.mu.Unlock()
+	snk.unlinked++
+}
+func (snk *fakeSink) Got(string, Message) {}
+func (snk *fakeSink) ends() int           { snk.mu.Lock(); defer snk.mu.Unlock(); return snk.unlinked }
+func (snk *fakeSink) opened() int         { snk.mu.Lock(); defer snk.mu.Unlock(); return snk.linked }
+
+// TestMessageOutlivesOneOfTwoLinks:
+//
+// Two instances dialled each other at once and hold two links. The newer one was
+// reset with a request's hand-over on it. Since the other link stood, nobody was
+// told of an end, so the request was not handed over anew: it waited for a verdict
+// until its time was over.
+func TestMessageOutlivesOneOfTwoLinks(t *testing.T) {
+	grp := group.New(context.Background())
+	defer grp.Stop()
+	snk := &fakeSink{}
+	hub := New(member.Member{Address: "self"}, snk, clock.System{}, nil, grp)
+	var stms []*fakeStream
+	for num := range 2 {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		stm := &fakeStream{ctx: ctx}
+		stms = append(stms, stm)
+		grp.Go(func(context.Context) error { _ = hub.serve(ctx, cancel, stm); return nil })
+		require.Eventually(t, func() bool { return snk.opened() == num+1 }, time.Second, time.Millisecond)
+	}
+	stms[1].breaks()
+	require.True(t, hub.Send("peer", Withdraw{ID: "r"}))
+	require.Eventually(t, func() bool { return stms[0].count() == 2 || snk.ends() > 0 }, time.Second, time.Millisecond,
+		"the message was neither sent on the other link nor its loss told")
+}
