Red replay: a killed forming instance costs a quarter of the callers around it

The replay lets each entry instance notice the loss by itself, drops the calls of the lost instance that wait at servers, tells the next one of requests that are at engines, and knows a killed process (its links end at once) from a lost machine (0.85 s of silence).

--- a/stand/replay/replay.go
+++ b/stand/replay/replay.go
@@ -9,6 +9,7 @@
 	"embed"
 	"fmt"
 	"io/fs"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -174,10 +175,21 @@
 	Empty int
 	// Held is the longest that a request waited which got no answer.
 	Held time.Duration
+	// After is what became of the callers around the loss of the forming
+	// instance.
+	After After
 	// Kinds are the shares of worth by kind.
 	Kinds map[string]float64
 }
 
+// After counts callers that came from shortly before the loss of a forming
+// instance until its results had expired.
+type After struct {
+	Callers int
+	Served  int
+	Earned  float64
+}
+
 // Measured is the result in a scene's measure; more is better.
 func (scn *Scene) Measured(res Result) float64 {
 	switch scn.Measure {
@@ -187,12 +199,27 @@
 		return -res.Crossed
 	case "held":
 		return -res.Held.Seconds()
+	case "after":
+		return float64(res.After.Served)
 	case "empty":
 		return -float64(res.Empty)
 	}
 	return res.Value
 }
 
+// Unlost is the scene with its forming instances kept: what a loss is held
+// against.
+func (scn *Scene) Unlost() *Scene {
+	out := *scn
+	out.Events = slices.Clone(scn.Events)
+	for idx := range out.Events {
+		if what := out.Events[idx].What; what == "desk-lost" || what == "desk-killed" {
+			out.Events[idx].What = "desk-kept"
+		}
+	}
+	return &out
+}
+
 // Play plays a scene with the product's decisions, or a baseline's.
 func (scn *Scene) Play(baseline string, seed uint64) (Result, error) {
 	ply, known := baselines[baseline]
@@ -206,7 +233,7 @@
 
 // String is a line of a table.
 func (res Result) String() string {
-	return fmt.Sprintf("value %.3f served %.3f refused %d crossed %.2f GB wasted %.1f s held %s empty %d", res.Value, res.Served, res.Refused, res.Crossed, res.Wasted, res.Held.Round(10*time.Millisecond), res.Empty)
+	return fmt.Sprintf("value %.3f served %.3f refused %d crossed %.2f GB wasted %.1f s held %s empty %d after %d/%d %.0f", res.Value, res.Served, res.Refused, res.Crossed, res.Wasted, res.Held.Round(10*time.Millisecond), res.Empty, res.After.Served, res.After.Callers, res.After.Earned)
 }
 
 // timed is something due at a time; num keeps the order of equals.
--- a/stand/replay/replay_test.go
+++ b/stand/replay/replay_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"lovagestream/core/member"
 )
 
 // seeds of the plays that are compared; a gain must show in their mean and in
@@ -55,3 +58,39 @@
 	require.NoError(t, err)
 	require.Equal(t, one, two)
 }
+
+// The instance that forms the calls is killed in a burst, with the servers' room
+// full of results. Its links end at once, and every entry instance hands its
+// requests to the next, which can begin at once, too. Callers saw otherwise: the
+// next one knew nothing of the results, began all requests anew and met servers
+// without room until the results expired, four seconds later, and a quarter of
+// the callers around the loss got no answer.
+//
+// What a loss must cost is the time until it is noticed, and two calls of each
+// server: the one that was under work for an instance that is gone, and the one
+// that it begins anew. Callers that the same burst serves without the loss must
+// be served but for that part of the time.
+func TestLossOfTheFormingInstanceCostsTwoCalls(t *testing.T) {
+	noticed := map[string]time.Duration{"desk-lost-in-burst": lostAfter + member.Period, "desk-lost-in-full-house": lostAfter + member.Period, "desk-killed-in-burst": 2 * killedAfter, "desk-killed-in-full-house": 2 * killedAfter}
+	for name, wait := range noticed {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			scn, err := Load(name)
+			require.NoError(t, err)
+			pol := scn.Pools[0]
+			call := pol.Call.d() + time.Duration(pol.Size)*pol.Piece.d()
+			bound := 1 - float64(wait+2*call)/float64(beforeLoss+afterLoss)
+			lost, kept := 0, 0
+			for _, sed := range seeds {
+				one, err := scn.Play("", sed)
+				require.NoError(t, err)
+				two, err := scn.Unlost().Play("", sed)
+				require.NoError(t, err)
+				t.Logf("seed %d: %s | %s", sed, one, two)
+				lost, kept = lost+one.After.Served, kept+two.After.Served
+			}
+			t.Logf("served %d of %d, bound %.3f", lost, kept, bound)
+			require.GreaterOrEqual(t, float64(lost), bound*float64(kept))
+		})
+	}
+}
--- a/stand/replay/server.go
+++ b/stand/replay/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"lovagestream/core/batch"
@@ -71,6 +72,12 @@
 	ser.held = map[string]int64{}
 }
 
+// forget drops the calls of a lost instance that wait; the one under work goes
+// on, and nobody hears what it makes.
+func (ser *server) forget(des *desk) {
+	ser.queue = slices.DeleteFunc(ser.queue, func(got *atServer) bool { return got.des == des })
+}
+
 func (ser *server) take(got *atServer) {
 	switch {
 	case ser.dark:
@@ -183,7 +190,7 @@
 	readsUntil time.Time
 }
 
-func (eng *engine) run(req *ask, des *desk, inputs []string) {
+func (eng *engine) run(req *ask, inputs []string) {
 	wld := eng.wld
 	fresh := req.spec.Prompt
 	for _, par := range req.spec.Parts {
@@ -214,10 +221,10 @@
 			return
 		}
 		wld.done(req)
-		des.dsk.Began(wld.now, key)
+		wld.desks[req.desk].dsk.Began(wld.now, key)
 		wld.after(time.Duration(req.kind.Events)*step, func() {
 			req.over = true
-			des.dsk.Ended(wld.now, key, place.Done)
+			wld.desks[req.desk].dsk.Ended(wld.now, key, place.Done)
 		})
 	})
 }
--- a/stand/replay/world.go
+++ b/stand/replay/world.go
@@ -9,6 +9,7 @@
 
 	"lovagestream/core/batch"
 	"lovagestream/core/call"
+	"lovagestream/core/member"
 	"lovagestream/core/stock"
 	"lovagestream/core/table"
 )
@@ -18,8 +19,10 @@
 	hop = 2 * time.Millisecond
 	// tick is how often the control thread looks at the time.
 	tick = 10 * time.Millisecond
-	// lostAfter is how long the loss of an instance goes unnoticed.
-	lostAfter = 850 * time.Millisecond
+	// lostAfter is how long the loss of an instance goes unnoticed whose machine
+	// lost power; the links of a killed process end at once.
+	lostAfter   = 850 * time.Millisecond
+	killedAfter = 5 * time.Millisecond
 	// step is the time of one event of a stream.
 	step = 20 * time.Millisecond
 	// modelService names the engines' service.
@@ -37,8 +40,9 @@
 	served bool
 	// over is set when the attempt under way has ended.
 	over bool
-	// desk has it.
-	desk int
+	// desk has it; engine is set while it is placed.
+	desk   int
+	engine string
 	// held is how long attempts without an answer were held.
 	held time.Duration
 }
@@ -61,7 +65,9 @@
 	servers map[string]*server
 	engines map[string]*engine
 	burst   map[string]float64
-	res     Result
+	// lostAt is when the forming instance was lost.
+	lostAt time.Time
+	res    Result
 	// crossed is in bytes.
 	crossed int64
 }
@@ -202,6 +208,7 @@
 func (wld *world) submit(req *ask, id string) {
 	req.tries++
 	req.over = false
+	req.engine = ""
 	spc := &req.spec
 	spc.Key = batch.Key{Owner: "me", ID: id}
 	spc.Arrived, spc.Aim = wld.now, wld.now.Add(req.kind.Aim.d())
@@ -222,9 +229,14 @@
 
 func (wld *world) hand(req *ask) {
 	des := wld.desks[req.desk]
+	spc := req.spec
 	wld.after(hop, func() {
-		if !des.lost && !req.over {
-			des.dsk.Submit(wld.now, req.spec)
+		switch {
+		case des.lost || req.over || req.spec.Key != spc.Key:
+		case req.engine != "":
+			des.dsk.Adopt(wld.now, spc, req.engine)
+		default:
+			des.dsk.Submit(wld.now, spc)
 		}
 	})
 }
@@ -247,7 +259,8 @@
 		switch {
 		case req == nil || req.over || req.spec.Key != ver.Key || des.lost:
 		case ver.Word == batch.Placed:
-			wld.engines[ver.Server.ID].run(req, des, ver.Inputs)
+			req.engine = ver.Server.ID
+			wld.engines[ver.Server.ID].run(req, ver.Inputs)
 		default:
 			wld.refused(req, ver)
 		}
@@ -283,7 +296,11 @@
 		wld.each(evt, (*server).crash)
 		wld.after(evt.For.d(), func() { wld.each(evt, func(ser *server) { ser.dark = false }) })
 	case "desk-lost":
-		wld.loseDesk()
+		wld.loseDesk(lostAfter, member.Period)
+	case "desk-killed":
+		wld.loseDesk(killedAfter, killedAfter)
+	case "desk-kept":
+		wld.lostAt = wld.now
 	}
 }
 
@@ -295,22 +312,43 @@
 	}
 }
 
-// loseDesk ends the forming instance; another takes over once its silence was
-// noticed, and what had no place yet is handed to it.
-func (wld *world) loseDesk() {
+// loseDesk ends the forming instance; another takes over once that was noticed.
+// Each entry instance notices by itself, the last of them later by the spread,
+// and hands its requests on.
+func (wld *world) loseDesk(noticed, spread time.Duration) {
 	des := wld.desks[len(wld.desks)-1]
 	des.lost = true
-	wld.after(lostAfter, func() {
+	wld.lostAt = wld.now
+	for _, ser := range wld.servers {
+		ser.forget(des)
+	}
+	wld.after(noticed, func() {
 		wld.addDesk()
-		for _, req := range wld.asks {
-			if !req.over && !req.served && req.desk == des.num {
-				req.desk = len(wld.desks) - 1
-				wld.hand(req)
-			}
+		nxt := len(wld.desks) - 1
+		for num := range wld.scn.Instances {
+			wld.after(time.Duration(num)*spread/time.Duration(wld.scn.Instances), func() { wld.handOver(num, des.num, nxt) })
 		}
 	})
 }
 
+// handOver hands the requests of one entry instance on.
+func (wld *world) handOver(owner, from, to int) {
+	for idx, req := range wld.asks {
+		if idx%wld.scn.Instances == owner && !req.over && req.desk == from {
+			req.desk = to
+			wld.hand(req)
+		}
+	}
+}
+
+const (
+	// beforeLoss is for how long before the loss of a forming instance callers
+	// count who may wait for it.
+	beforeLoss = time.Second
+	// afterLoss is how long after the loss its results lie at their makers.
+	afterLoss = 4 * time.Second
+)
+
 func (wld *world) result() Result {
 	owed, earned, served := 0.0, 0.0, 0
 	kinds := map[string][2]float64{}
@@ -319,6 +357,13 @@
 		earned += req.earned
 		sum := kinds[req.kind.Name]
 		kinds[req.kind.Name] = [2]float64{sum[0] + req.earned, sum[1] + req.worth}
+		if age := req.came.Sub(wld.lostAt); age > -beforeLoss && age < afterLoss {
+			wld.res.After.Callers++
+			if req.served {
+				wld.res.After.Served++
+			}
+			wld.res.After.Earned += req.earned
+		}
 		if req.served {
 			served++
 			continue
