Take room that lacks after a loss for results that nobody knows of

Cause: what servers were at work on for a forming instance that was killed is made all the same, up to half of their room, and nobody hears of it.

Change: for a result's life and a full call after the take-over, a call with pieces unmade for want of room says how much is taken by unknown results; it counts as taken until they have expired. Only less than the smallest piece that found none is taken as free, so that small ones go on.

Dropped: admission of begun requests by the estimate again (no difference), free room asked at each server (no more than told results alone).

--- a/core/batch/desk.go
+++ b/core/batch/desk.go
@@ -45,6 +45,8 @@
 	AdmitAll bool
 	// Untold keeps what was made from the entry instances.
 	Untold bool
+	// Unhidden takes room that lacks after a loss for larger results.
+	Unhidden bool
 }
 
 // Desk is the state of all jobs under way.
@@ -69,6 +71,8 @@
 	refused map[uint64]refusal
 	// doubts are zones that went silent.
 	doubts map[string]*doubt
+	// succeeded is when this instance began to form calls after another.
+	succeeded time.Time
 	// prunedAt is when hopeless jobs were last looked for.
 	prunedAt time.Time
 }
--- a/core/batch/fill.go
+++ b/core/batch/fill.go
@@ -125,7 +125,7 @@
 		// The first call after a rest carries little: it may be lost.
 		size = max(1, size/4)
 	}
-	pck := &packer{pool: pol, server: ser, now: now, size: size, used: ser.used}
+	pck := &packer{pool: pol, server: ser, now: now, size: size, used: ser.used + ser.unknown(now)}
 	// Jobs that fit whole go first: pieces of one job in two calls hold the
 	// room of the first until the second has ended.
 	for _, whole := range []bool{true, false} {
--- a/core/batch/finish.go
+++ b/core/batch/finish.go
@@ -66,7 +66,9 @@
 	case Answered:
 		ser.rec.Succeeded()
 		fli.pool.learn(now, fli)
-		ser.weigh(now, results, dsk.ply.AskFull)
+		if !dsk.hide(now, fli, results) {
+			ser.weigh(now, results, dsk.ply.AskFull)
+		}
 		dsk.take(now, fli, results)
 	case Full:
 		ser.fullUntil = now.Add(fullRest)
--- a/core/batch/held_test.go
+++ b/core/batch/held_test.go
@@ -233,3 +233,37 @@
 	require.Len(t, spc.Held, 1)
 	require.Zero(t, spc.Held[0].Stage)
 }
+
+// The instance before was killed with a call under work at a server. What that
+// made fills half of the room, and nobody knows of it. The next instance fits
+// its calls into the other half, makes small results beside, and has the whole
+// room again when the unknown results have expired.
+func TestUnknownResultsTakeRoomUntilTheyExpire(t *testing.T) {
+	dsk, out := newDesk(both...)
+	dsk.Succeed(start)
+	dsk.Submit(start, spec("a", 8, 1))
+	cal := out.take()[0]
+	require.Len(t, cal.Items, 8)
+	res := []Result{{Handle: "1"}, {Handle: "2"}, {Handle: "3"}, {Handle: "4"}, {Reason: NoRoom}, {Reason: NoRoom}, {Reason: NoRoom}, {Reason: NoRoom}}
+	now := start.Add(300 * time.Millisecond)
+	dsk.CallEnded(now, cal.Number, res, Answered)
+	require.Empty(t, out.take(), "four results of the request fill what is left")
+	ser := dsk.pools["first"].servers["f1"]
+	require.InDelta(t, 1, ser.puff, 0, "results are no larger than published")
+	small := spec("b", 1, 1)
+	small.Stages[0].Size = 8000
+	dsk.Submit(now, small)
+	require.Len(t, out.take(), 1)
+	dsk.Tick(start.Add(4500 * time.Millisecond))
+	require.Zero(t, ser.unknown(start.Add(4500*time.Millisecond)))
+}
+
+// Without a loss, room that lacks says that results are larger than published.
+func TestLackingRoomWithoutALossIsLearnt(t *testing.T) {
+	dsk, out := newDesk(both...)
+	dsk.Submit(start, spec("a", 2, 1))
+	dsk.CallEnded(start, out.take()[0].Number, []Result{{Handle: "1"}, {Reason: NoRoom}}, Answered)
+	ser := dsk.pools["first"].servers["f1"]
+	require.Greater(t, ser.puff, 1.0)
+	require.Zero(t, ser.hidden)
+}
--- a/core/batch/pool.go
+++ b/core/batch/pool.go
@@ -52,6 +52,9 @@
 	freeAt time.Time
 	// used is the room that results and calls under way take, in bytes.
 	used int64
+	// hidden is room that results take which nobody knows of, until hiddenUntil.
+	hidden      int64
+	hiddenUntil time.Time
 	// puff is how much larger results are than published; at least 1.
 	puff float64
 	// made are the results that lie here.
--- /dev/null
+++ b/core/batch/room.go
@@ -0,0 +1,65 @@
+package batch
+
+import "time"
+
+// Succeed notes that this instance forms the calls from now on, after another.
+func (dsk *Desk) Succeed(now time.Time) { dsk.succeeded = now }
+
+// strange reports whether results that nobody knows of may still lie at a
+// pool's servers: those of the calls that were under work when the instance
+// before this one was lost.
+func (dsk *Desk) strange(now time.Time, pol *pool) bool {
+	return !dsk.succeeded.IsZero() && now.Before(dsk.strangeUntil(pol))
+}
+
+// strangeUntil is when the last of them have expired.
+func (dsk *Desk) strangeUntil(pol *pool) time.Time {
+	bat := pol.svc.Batch
+	return dsk.succeeded.Add(bat.Life + bat.Call + time.Duration(bat.Size)*bat.Piece)
+}
+
+// hide takes what a server lacked room for as taken by results that nobody
+// knows of, and reports whether that explains a call's missing pieces.
+//
+// Load pattern: the instance that forms the calls is killed in a burst. What
+// the servers were at work on for it is made all the same, up to half of their
+// room, and nobody hears of it. Taken for larger results than published, as
+// otherwise, it makes the next instance use less of every server's room long
+// after these results have expired; not taken into account, each call comes
+// back with pieces unmade.
+func (dsk *Desk) hide(now time.Time, fli *flight, results []Result) bool {
+	if dsk.ply.Unhidden || !dsk.strange(now, fli.pool) {
+		return false
+	}
+	// What counts is known at the call's turn: not the calls behind it.
+	known, least := fli.server.used, int64(0)
+	for idx, res := range results {
+		size := fli.pieces[idx].stage.size
+		if res.Reason != Made {
+			known -= size
+		}
+		if res.Reason == NoRoom && (least == 0 || size < least) {
+			least = size
+		}
+	}
+	for _, oth := range fli.server.flights {
+		for _, pie := range oth.pieces {
+			known -= pie.stage.size
+		}
+	}
+	if least == 0 {
+		return false
+	}
+	// There is still room for less than the smallest of them.
+	fli.server.hidden = max(0, fli.pool.svc.Batch.Room-known-least+1)
+	fli.server.hiddenUntil = dsk.strangeUntil(fli.pool)
+	return true
+}
+
+// unknown is the room that results take which nobody knows of.
+func (ser *server) unknown(now time.Time) int64 {
+	if !now.Before(ser.hiddenUntil) {
+		return 0
+	}
+	return ser.hidden
+}
--- a/io/edge/duties.go
+++ b/io/edge/duties.go
@@ -66,6 +66,7 @@
 // taken its duties over; servers may have left, keys been revoked.
 func (ctl *Control) woke(now time.Time, gap time.Duration) {
 	num := ctl.desk.Clear(now)
+	ctl.desk.Succeed(now)
 	for _, wai := range ctl.waiters {
 		if wai.desk == ctl.set.Told {
 			// Nobody has it now; the next look at the duties hands it on.
@@ -154,6 +155,9 @@
 	if desk := ctl.mem.Desk(now); desk != ctl.deskAt {
 		ctl.jou.Note("desk-moved", lines.Fields{"from": ctl.deskAt, "to": desk})
 		ctl.deskAt = desk
+		if desk == ctl.set.Told {
+			ctl.desk.Succeed(now)
+		}
 	}
 	ctl.doubt(now)
 	ctl.takeOver(now)
--- a/stand/replay/replay.go
+++ b/stand/replay/replay.go
@@ -123,8 +123,9 @@
 	"any-zone":       {AnyZone: true},
 	"full-capacity":  {FullCapacity: true},
 	"forget-refused": {ForgetRefused: true},
-	"ask-full":       {AskFull: true},
+	"ask-full":       {AskFull: true, Unhidden: true},
 	"results-untold": {Untold: true},
+	"room-unhidden":  {Unhidden: true},
 	"admit-all":      {AdmitAll: true, HoldHopeless: true},
 }
 
--- a/stand/replay/world.go
+++ b/stand/replay/world.go
@@ -338,6 +338,7 @@
 	wld.after(noticed, func() {
 		wld.addDesk()
 		nxt := len(wld.desks) - 1
+		wld.desks[nxt].dsk.Succeed(wld.now)
 		for num := range wld.scn.Instances {
 			wld.after(time.Duration(num)*spread/time.Duration(wld.scn.Instances), func() { wld.handOver(num, des.num, nxt) })
 		}
