Hold a call against what its pieces are taken for when it ends

Cause, by what the lines leave over: no work ahead, engines reading in their usual time (requests without pieces were served), so a stage's own time, the learnt time of a piece. Each call was held against the times at its sending; the 16 servers of a pool that end late together each moved the time once more: 23.6 ms after one such round where none took more than 5.25 (red test). Once all are refused no call is made, and nothing is learnt that would put it right.

Change: the work of a call is taken at its end. Green: at most 5.25 ms.

--- a/core/batch/held.go
+++ b/core/batch/held.go
@@ -124,6 +124,9 @@
 // instance had before. What can't be, since its server is gone or it is about
 // to expire, is made again.
 func (dsk *Desk) restore(now time.Time, job *job) {
+	if len(job.spec.Held) == 0 {
+		return
+	}
 	seen := map[string]bool{}
 	for _, hld := range job.spec.Held {
 		if !hld.whole(&job.spec) {
--- a/core/batch/pool.go
+++ b/core/batch/pool.go
@@ -168,6 +168,12 @@
 // follows. Learnt from small calls, pieces seemed to take three times as long,
 // and full calls, then far too quick, taught nothing: in bursts queues seemed
 // twice as long as they were, and most jobs in time were taken for late.
+//
+// A call is held against what its pieces are taken for now, not when it was
+// sent: servers of a pool that are late for one reason end their calls
+// together, and each of them would add to what the one before taught. Pieces
+// then counted as thirty times as long, every job was refused at the door, and
+// no call was made any more that would have taught otherwise.
 func (pol *pool) learn(now time.Time, fli *flight) {
 	took := now.Sub(fli.turn)
 	ratio := float64(took) / float64(fli.usual)
@@ -177,7 +183,10 @@
 	ser.slowAt = now
 	pol.fill += learning * (float64(len(fli.pieces)) - pol.fill)
 	fill := float64(len(fli.pieces)) / float64(pol.svc.Batch.Size)
-	work := fli.usual - pol.svc.Batch.Call
+	work := time.Duration(0)
+	for _, pie := range fli.pieces {
+		work += pol.time(pie.stage.kind)
+	}
 	if ratio > slowCall || fill < tellingFill || work <= 0 {
 		return
 	}
--- a/core/batch/pool_test.go
+++ b/core/batch/pool_test.go
@@ -56,3 +56,30 @@
 	}
 	require.Less(t, pol.time(knd), 4*time.Millisecond)
 }
+
+// All servers of a pool end their calls at one moment, each half as long again
+// as expected: another instance's calls were ahead of them. Each end says the
+// same once more, and must not be added to what the others said. Callers saw
+// what came of it: pieces counted as thirty times as long, everybody was
+// refused for a queue that wasn't there, and since nothing was made any more,
+// nothing was learnt that would have put it right.
+func TestCallsThatEndTogetherTeachOnce(t *testing.T) {
+	const each, servers = 2500 * time.Microsecond, 16
+	svc := &table.Service{Batch: &table.Batch{Calls: 1, Queue: 2, Size: 50, Call: 150 * time.Millisecond, Piece: each}}
+	pol := newPool(svc)
+	knd := kind{size: 6000, prior: 1}
+	var flights []*flight
+	for range servers {
+		fli := &flight{pool: pol, server: &server{slow: 1, puff: 1}, turn: start, usual: svc.Batch.Call}
+		for range 50 {
+			fli.pieces = append(fli.pieces, &piece{stage: &stage{pool: pol, kind: knd}})
+			fli.usual += pol.time(knd)
+		}
+		flights = append(flights, fli)
+	}
+	took := flights[0].usual * 3 / 2
+	for _, fli := range flights {
+		pol.learn(start.Add(took), fli)
+	}
+	require.LessOrEqual(t, pol.time(knd), (took-svc.Batch.Call)/50, "no piece took longer")
+}
