--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -112,7 +112,9 @@
 	dirty      bool
 	surveyedAt time.Time
 	waiters    map[string]*waiter
-	deskAt     string
+	// attempts counts the requests that were handed over.
+	attempts uint64
+	deskAt   string
 	// dark are zones that went silent.
 	dark map[string]bool
 	// frees are results to give up, by maker's address.
@@ -375,6 +377,17 @@
 	ctl.frees[address] = append(ctl.frees[address], handles...)
 }
 
+// Keep tells an entry instance what was made for its request.
+func (ctl *Control) Keep(hld batch.Held) {
+	if hld.Key.Owner == ctl.set.Told {
+		ctl.held(ctl.clk.Now(), ctl.set.Told, hld)
+		return
+	}
+	if !ctl.lnk.Send(hld.Key.Owner, mesh.Held{Held: hld}) {
+		ctl.jou.Note("results-untold", lines.Fields{"id": hld.Key.ID, "to": hld.Key.Owner})
+	}
+}
+
 // Tell brings a verdict to its entry instance.
 func (ctl *Control) Tell(ver batch.Verdict) {
 	if ver.Key.Owner == ctl.set.Told {
--- a/io/edge/duties.go
+++ b/io/edge/duties.go
@@ -77,6 +77,13 @@
 // taken its duties over; servers may have left, keys been revoked.
 func (ctl *Control) woke(now time.Time, gap time.Duration) {
 	num := ctl.desk.Clear(now)
+	ctl.desk.Succeed(now)
+	for _, wai := range ctl.waiters {
+		if wai.desk == ctl.set.Told {
+			// Nobody has it now; the next look at the duties hands it on.
+			wai.desk = ""
+		}
+	}
 	ctl.jou.Note("woke-after-pause", lines.Fields{"gap": gap.Milliseconds(), "jobs-dropped": num})
 	ctl.verified = false
 	ctl.wokeAt = now
@@ -170,6 +177,9 @@
 		ctl.jou.Note("desk-moved", lines.Fields{"from": ctl.deskAt, "to": desk})
 		ctl.deskAt = desk
 		clear(ctl.asked)
+		if desk == ctl.set.Told {
+			ctl.desk.Succeed(now)
+		}
 	}
 	ctl.doubt(now)
 	ctl.takeOver(now)
--- /dev/null
+++ b/io/edge/pause_test.go
@@ -0,0 +1,51 @@
+package edge
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lovagestream/core/batch"
+)
+
+// TestOwnWaitingRequestOutlivesAPause:
+//
+// The instance that forms the calls stood still while a request of its own
+// waited for an engine. Awake again it forgot all jobs, since others have taken
+// theirs over; its own request was nobody's then, and waited without a verdict
+// until its time was over.
+func TestOwnWaitingRequestOutlivesAPause(t *testing.T) {
+	ctl, _ := newControl(t)
+	known(ctl)
+	ctl.duties(ctl.clk.Now())
+	require.Equal(t, "b", ctl.deskAt)
+	spec := func(id string) batch.Spec {
+		now := ctl.clk.Now()
+		return batch.Spec{Key: batch.Key{Owner: "b", ID: id}, Service: "m", Prompt: 10, Output: 10, Arrived: now, Aim: now.Add(20 * time.Second), Give: now.Add(30 * time.Second), End: now.Add(30 * time.Second)}
+	}
+	outs := map[string]chan batch.Verdict{}
+	waits := ""
+	for num := 0; num < 20 && waits == ""; num++ {
+		id := strconv.Itoa(num)
+		outs[id] = make(chan batch.Verdict, 1)
+		ctl.do(evSubmit{spec: spec(id), out: outs[id]})
+		if len(outs[id]) == 0 {
+			waits = id
+		}
+	}
+	require.NotEmpty(t, waits, "no request waits")
+	ctl.woke(ctl.clk.Now(), 4*time.Second)
+	known(ctl)
+	require.True(t, ctl.View().Verified)
+	for id := range outs {
+		if id != waits {
+			ctl.do(evEnded{id: id, out: 0})
+		}
+	}
+	ctl.do(evTick{})
+	ctl.duties(ctl.clk.Now())
+	ctl.do(evTick{})
+	require.Len(t, outs[waits], 1, "no verdict though all engines are free")
+}
