One reading of callers' bodies for both sides

The bound, the limit and the telling of slow, malformed, too large and broken-off bodies stood twice, in io/front and io/entry, each with a part of it right; the issuing of keys had no bound at all. io/frame has it once, and each side turns its one error into its own answer (docs/design/request-framing.md says which stayed and why). A request without a body sets no bound. Before a configuration is in force a chunked body over the limit is refused with 503, not 413, as one with a length.

No case of stand/crude/odd.txt changed; green with the race detector: io/front, io/entry, io/frame, platform/fakes.

--- a/io/entry/body.go
+++ b/io/entry/body.go
@@ -1,14 +1,13 @@
 package entry
 
 import (
-	"io"
-	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"lovagestream/core/table"
+	"lovagestream/io/frame"
 	"lovagestream/io/lines"
 )
 
@@ -16,58 +15,44 @@
 // far caller.
 const restTime = time.Second
 
-// body reads a request's body, and one byte over the limit of one that is too
-// large. If it can't be read to its end, the caller is told why, or nothing if
-// it broke off, and ok is false.
-//
-// It must come within the caller's own patience. A caller that sends it drop
-// by drop would else hold its buffer, and a planned stop, without end.
-func (vis *visit) body(htr *http.Request, most int64) (body []byte, ok bool) {
+// body reads a request's body within the caller's own patience. If it can't be
+// read to its end, the caller is told why, or nothing if it broke off, and ok is
+// false; fault is what the head's decoder found.
+func (vis *visit) body(htr *http.Request, lim table.Limits, fault error) (body []byte, ok bool) {
 	wait := defaultTimeout
 	if vis.req.Patience > 0 {
 		wait = min(wait, vis.req.Patience)
 	}
-	var late atomic.Bool
-	ctl := http.NewResponseController(vis.wri)
-	dog := vis.srv.clk.Watch(wait, func() {
-		late.Store(true)
-		_ = ctl.SetReadDeadline(vis.srv.clk.Now())
-	})
-	body, err := io.ReadAll(io.LimitReader(htr.Body, most+1))
-	dog.Stop()
-	switch {
-	case late.Load():
-		return nil, vis.sever(http.StatusRequestTimeout, "body-too-slow", err)
-	case err == nil:
+	body, err := frame.Read(vis.wri, htr, lim.Body, vis.arrived.Add(wait), vis.srv.clk)
+	var bad *frame.BodyError
+	if !errors.As(err, &bad) {
 		return body, true
-	case brokeOff(err):
-		vis.srv.jou.Note("request-unread", lines.Fields{"id": vis.req.ID, "error": err.Error()})
-		panic(http.ErrAbortHandler)
 	}
-	return nil, vis.sever(http.StatusBadRequest, "malformed-body", err)
+	switch bad.Fault {
+	case frame.TooLarge:
+		// What its head says comes first: without a configuration in force,
+		// nobody knows what is too large.
+		vis.lastAnswer()
+		return nil, vis.head(htr, lim, fault) && vis.sever(http.StatusRequestEntityTooLarge, bad)
+	case frame.TooSlow:
+		return nil, vis.sever(http.StatusRequestTimeout, bad)
+	case frame.Malformed:
+		return nil, vis.sever(http.StatusBadRequest, bad)
+	}
+	vis.srv.jou.Note("request-unread", lines.Fields{"id": vis.req.ID, "error": err.Error()})
+	panic(http.ErrAbortHandler)
 }
 
-// brokeOff tells a connection that ended in a body from a body that is
-// malformed. One that ended in the trailer counts as malformed: the HTTP server
-// doesn't tell, and a caller that left isn't there to be told.
-func brokeOff(err error) bool {
-	var nerr net.Error
-	return errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &nerr)
+// sever denies a request whose body was not read to its end, and ends the
+// connection with the answer.
+func (vis *visit) sever(status int, bad *frame.BodyError) bool {
+	vis.lastAnswer()
+	return vis.deny(status, bad.Fault.String(), bad.Cause)
 }
 
-// sever denies a request whose body was not read to its end. The connection ends
-// with the answer: what comes on it is the rest of that body, and would be
-// taken for the next request.
-func (vis *visit) sever(status int, reason string, err error) bool {
-	vis.boundRest()
+// lastAnswer ends the connection with the answer, and bounds the reading of
+// what is left of the body.
+func (vis *visit) lastAnswer() {
+	frame.Bound(vis.wri, vis.srv.clk.Now().Add(restTime))
 	vis.wri.Header().Set("Connection", "close")
-	return vis.deny(status, reason, err)
-}
-
-// boundRest bounds the reading of what is left of a body that is refused.
-// Around the answer, the HTTP server reads on so that a caller which still
-// sends isn't reset before it has read the answer; without a bound, one that
-// sends nothing more would hold the connection there.
-func (vis *visit) boundRest() {
-	_ = http.NewResponseController(vis.wri).SetReadDeadline(vis.srv.clk.Now().Add(restTime))
 }
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -164,20 +164,18 @@
 		vis.req = req
 	}
 	if err := frame.Check(htr); err != nil {
-		return vis.sever(http.StatusBadRequest, "malformed", err)
+		vis.lastAnswer()
+		return vis.deny(http.StatusBadRequest, "malformed", err)
 	}
-	early := htr.ContentLength > lim.Body || asks(htr)
-	if early && !vis.head(htr, lim, htr.ContentLength, fault) {
-		vis.boundRest()
+	early := asks(htr)
+	if early && !vis.head(htr, lim, fault) {
+		frame.Bound(vis.wri, vis.srv.clk.Now().Add(restTime))
 		return false
 	}
-	body, ok := vis.body(htr, lim.Body)
-	if !ok || !early && !vis.head(htr, lim, int64(len(body)), fault) {
+	body, ok := vis.body(htr, lim, fault)
+	if !ok || !early && !vis.head(htr, lim, fault) {
 		return false
 	}
-	if int64(len(body)) > lim.Body {
-		return vis.sever(http.StatusRequestEntityTooLarge, "body-too-large", nil)
-	}
 	vis.req.Body = body
 	return vis.route()
 }
@@ -188,9 +186,8 @@
 	return strings.EqualFold(htr.Header.Get("Expect"), "100-continue")
 }
 
-// head checks a request by its head; fault is what its decoder found, size its
-// body's length in bytes as far as it is known.
-func (vis *visit) head(htr *http.Request, lim table.Limits, size int64, fault error) bool {
+// head checks a request by its head; fault is what its decoder found.
+func (vis *visit) head(htr *http.Request, lim table.Limits, fault error) bool {
 	switch {
 	case fault != nil:
 		return vis.deny(http.StatusBadRequest, "malformed", fault)
@@ -200,8 +197,6 @@
 		return vis.refuse("unverified-after-pause", unknownWait)
 	case lim.Header > 0 && headSize(htr.Header) > lim.Header:
 		return vis.deny(http.StatusRequestHeaderFieldsTooLarge, "head-too-large", nil)
-	case size > lim.Body:
-		return vis.sever(http.StatusRequestEntityTooLarge, "body-too-large", nil)
 	}
 	return vis.find()
 }
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -202,11 +202,9 @@
 	srv.admit(vis, hrq, req)
 }
 
-// boundRead bounds the reading of a body that may be refused: around the answer
-// to it, the HTTP server reads what is left. Without a bound, a caller that
-// sends nothing more would hold it there.
+// boundRead bounds the reading of a body that may be refused.
 func (srv *Server) boundRead(wri http.ResponseWriter, now time.Time) {
-	_ = http.NewResponseController(wri).SetReadDeadline(now.Add(srv.opt.writeBound))
+	frame.Bound(wri, now.Add(srv.opt.writeBound))
 }
 
 // admit finds room for a request and runs it.
--- a/io/front/keys.go
+++ b/io/front/keys.go
@@ -6,7 +6,6 @@
 	"crypto/sha256"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -16,6 +15,7 @@
 	"lovagestream/core/keys"
 	"lovagestream/core/result"
 	"lovagestream/io/claim"
+	"lovagestream/io/frame"
 	"lovagestream/io/runner"
 	"lovagestream/io/stage"
 	"lovagestream/io/trace"
@@ -72,13 +72,10 @@
 	if acc == nil {
 		return nil, refuse(result.Unauthorized, 0, "Authorization: want the bearer token of a client account")
 	}
-	count, rfl := readCount(hrq)
+	count, rfl := srv.readCount(wri, hrq)
 	if rfl != nil {
 		return nil, rfl
 	}
-	// The body is there; a read that failed by its bound would look like a
-	// caller that left.
-	_ = http.NewResponseController(wri).SetReadDeadline(time.Time{})
 	ctx, cancel := context.WithTimeout(hrq.Context(), issueBound)
 	defer cancel()
 	batch, err := srv.clm.Issue(ctx, acc.Name(), count)
@@ -88,10 +85,10 @@
 	return batch, nil
 }
 
-func readCount(hrq *http.Request) (int, *result.Refusal) {
+func (srv *Server) readCount(wri http.ResponseWriter, hrq *http.Request) (int, *result.Refusal) {
 	const maxIssueBody = 1 << 10
 	req := issueRequest{Count: 1}
-	raw, err := io.ReadAll(io.LimitReader(hrq.Body, maxIssueBody))
+	raw, err := frame.Read(wri, hrq, maxIssueBody, srv.clk.Now().Add(srv.opt.writeBound), srv.clk)
 	if err != nil {
 		return 0, refuse(result.BadRequest, 0, "body: could not be read to its end")
 	}
--- a/io/front/read.go
+++ b/io/front/read.go
@@ -3,10 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
-	"io"
 	"mime"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -16,6 +14,7 @@
 
 	"lovagestream/core/config"
 	"lovagestream/core/result"
+	"lovagestream/io/frame"
 	"lovagestream/io/runner"
 )
 
@@ -107,32 +106,29 @@
 	return now.Add(min(wait, pip.Deadline())), nil
 }
 
-// body reads the body within its bound and before the request's deadline. A
-// caller that sends it drop by drop would else hold a place without end.
+// body reads the body within its bound and before the request's deadline.
 func (srv *Server) body(wri http.ResponseWriter, hrq *http.Request, deadline time.Time) (json.RawMessage, *result.Refusal) {
-	tooLarge := refuse(result.BodyTooLarge, 0, fmt.Sprintf("body: over the limit of %d bytes", srv.opt.maxBody))
-	if hrq.ContentLength > srv.opt.maxBody {
-		return nil, tooLarge
-	}
-	ctl := http.NewResponseController(wri)
-	_ = ctl.SetReadDeadline(deadline)
-	raw, err := io.ReadAll(io.LimitReader(hrq.Body, srv.opt.maxBody+1))
-	if err == nil && int64(len(raw)) > srv.opt.maxBody {
+	raw, err := frame.Read(wri, hrq, srv.opt.maxBody, deadline, srv.clk)
+	if err != nil {
 		srv.boundRead(wri, srv.clk.Now())
-		return nil, tooLarge
-	}
-	if err == nil {
-		// The bound must be gone before the request runs: the server notices
-		// a caller that leaves by a read that would fail by it.
-		_ = ctl.SetReadDeadline(time.Time{})
-	}
-	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, refuse(result.DeadlinePassed, 0, "body: did not come before the deadline")
-	case err != nil:
-		return nil, refuse(result.BadRequest, 0, "body: could not be read to its end")
-	case !json.Valid(raw):
+		return nil, srv.unread(err)
+	}
+	if !json.Valid(raw) {
 		return nil, refuse(result.BadRequest, 0, "body: want one JSON value")
 	}
 	return raw, nil
 }
+
+// unread refuses a body that couldn't be read to its end.
+func (srv *Server) unread(err error) *result.Refusal {
+	var bad *frame.BodyError
+	if errors.As(err, &bad) {
+		switch bad.Fault {
+		case frame.TooLarge:
+			return refuse(result.BodyTooLarge, 0, fmt.Sprintf("body: over the limit of %d bytes", srv.opt.maxBody))
+		case frame.TooSlow:
+			return refuse(result.DeadlinePassed, 0, "body: did not come before the deadline")
+		}
+	}
+	return refuse(result.BadRequest, 0, "body: could not be read to its end")
+}
