--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"lovagestream/core/sums"
 )
 
 var start = time.Unix(1000, 0)
@@ -146,3 +148,112 @@
 	_, crowd = set.Reader(start.Add(time.Minute))
 	require.Equal(t, 1, crowd)
 }
+
+// large is a set of a fleet of a size, the hub a linked, no other.
+func large(size int) *Set {
+	set := NewSet(Member{Address: "x", Zone: "z0", Born: 9999, Share: 200})
+	var list []Member
+	for num := range size - 2 {
+		list = append(list, Member{Address: fmt.Sprintf("m%03d", num), Zone: "z0", Born: int64(num + 100), Share: 200})
+	}
+	set.Learn(start, list)
+	set.Linked(start, Member{Address: "a", Zone: "z0", Born: 1, Share: 800})
+	return set
+}
+
+// A hub of 300 would send 1,500 beats a second, and as many bytes as its whole
+// part of the link; in larger fleets all beat more slowly, and count a member as
+// silent as much later. Up to 200 members nothing changes.
+func TestBeatsSlowDownInLargeFleets(t *testing.T) {
+	require.Equal(t, 200*time.Millisecond, large(3).Period())
+	require.Equal(t, 200*time.Millisecond, large(200).Period())
+	require.Equal(t, 300*time.Millisecond, large(300).Period())
+	require.Equal(t, 400*time.Millisecond, large(1000).Period())
+	for size, most := range map[int]time.Duration{3: 850 * time.Millisecond, 200: 850 * time.Millisecond, 300: 1250 * time.Millisecond} {
+		set := large(size)
+		set.Heard(start, "a", Beat{Ready: true})
+		require.True(t, set.Live(at(most), "a"))
+		require.False(t, set.Live(at(most+time.Millisecond), "a"))
+		require.Empty(t, set.Silent(at(most+deadAfter)))
+		require.Equal(t, []string{"a"}, set.Silent(at(most+deadAfter+time.Millisecond)))
+	}
+}
+
+// A beat that says that the last one holds keeps its sender live, but makes its
+// news of the store no younger.
+func TestAgainKeepsWhatWasSaid(t *testing.T) {
+	set := large(20)
+	set.Heard(start, "a", Beat{Ready: true, Fresh: time.Second, Version: 7})
+	for num := range 10 {
+		require.EqualValues(t, 7, set.Again(at(time.Duration(num)*200*time.Millisecond), "a").Version)
+	}
+	require.Equal(t, "a", set.Desk(at(2*time.Second)))
+	require.False(t, reads(set, at(1400*time.Millisecond)))
+	require.True(t, reads(set, at(1600*time.Millisecond)), "it was a second old when it was told")
+	require.EqualValues(t, -1, set.Again(start, "nobody").Fresh)
+}
+
+// Who links to hubs hears of most others through them alone. What a hub confirms
+// is not forgotten; what it no longer knows is, and a hub believes no other, so
+// that no two keep a dead member known between them.
+func TestHubsConfirmMembers(t *testing.T) {
+	set := large(60)
+	own := set.Sums()
+	same := ^sums.Mask(0)
+	dead := "m007"
+	one := &sums.Sums{}
+	one.Add(dead, 107)
+	same &^= one.Differ(nil)
+	for num := range 30 {
+		now := at(time.Duration(num) * 10 * time.Second)
+		set.Heard(now, "a", Beat{Ready: true})
+		var named []Member
+		for _, mem := range set.List() {
+			if !same.Has(mem.Address) && mem.Address != dead {
+				named = append(named, mem)
+			}
+		}
+		set.Confirm(now, "a", same, named)
+		set.Dial(now)
+	}
+	_, known := set.Count(at(5 * time.Minute))
+	require.Equal(t, 59, known)
+	require.NotEqual(t, own.Digest(), set.Sums().Digest())
+	list, same := set.Unlike(own.List())
+	require.Equal(t, 63, same.Count())
+	require.Len(t, list, 60-1-sameIn(set, same))
+
+	hub := large(60)
+	hub.Confirm(at(time.Minute), "m001", sums.All, nil)
+	hub.self.Share = 1000
+	hub.Confirm(at(time.Minute), "a", sums.All, nil)
+	hub.Dial(at(forgotten + time.Second))
+	_, known = hub.Count(at(forgotten + time.Second))
+	require.Equal(t, 2, known, "nobody confirmed anything to a hub, and m001 is none")
+}
+
+// sameIn counts members in some parts, the instance itself among them.
+func sameIn(set *Set, parts sums.Mask) int {
+	num := 0
+	for _, mem := range set.List() {
+		if parts.Has(mem.Address) {
+			num++
+		}
+	}
+	return num
+}
+
+// What is learnt goes to the hubs of all zones and to the own zone, not to all:
+// the others hear it from their own hubs.
+func TestAudienceIsHubsAndTheOwnZone(t *testing.T) {
+	set := NewSet(Member{Address: "self", Zone: "z0", Born: 1, Share: 800})
+	for num := range 60 {
+		set.Linked(start, Member{Address: fmt.Sprintf("m%02d", num), Zone: fmt.Sprintf("z%d", num%3), Born: int64(num + 2), Share: 200})
+	}
+	hubs, others := set.Audience(start)
+	require.Equal(t, []string{"m00", "m01", "m02", "m04", "m05"}, hubs)
+	require.Len(t, others, 19)
+	for _, adr := range others {
+		require.Equal(t, "z0", set.others[adr].Zone)
+	}
+}
--- a/io/edge/control_test.go
+++ b/io/edge/control_test.go
@@ -240,3 +240,101 @@
 	ctl.do(evSettings{set: Settings{Seeds: []string{"s2"}}})
 	require.Equal(t, []string{"s2"}, ctl.mem.Dial(ctl.clk.Now()))
 }
+
+// Beats say only that the last one holds while nothing changes. A peer whose
+// link had no room for a change must hear it all the same.
+func TestBeatsSayWhatChangedOnce(t *testing.T) {
+	ctl, lnk := newControl(t)
+	known(ctl)
+	ctl.do(evLinked{mem: member.Member{Address: "a", Zone: "z", Born: 1}}, evLinked{mem: member.Member{Address: "c", Zone: "z", Born: 2}})
+	now := ctl.clk.Now()
+	ctl.sayBeats(now)
+	whole, again := len(of[mesh.Beat](lnk, "a")), len(of[mesh.Again](lnk, "a"))
+	ctl.sayBeats(now)
+	ctl.sayBeats(now)
+	require.Len(t, of[mesh.Beat](lnk, "a"), whole)
+	require.Len(t, of[mesh.Again](lnk, "a"), again+2)
+	lnk.down["c"] = true
+	ctl.do(evConfig{doc: []byte("9")})
+	ctl.sayBeats(now)
+	require.EqualValues(t, 9, of[mesh.Beat](lnk, "a")[whole].Version)
+	lnk.down["c"] = false
+	ctl.sayBeats(now)
+	require.Len(t, of[mesh.Beat](lnk, "a"), whole+1)
+	beats := of[mesh.Beat](lnk, "c")
+	require.EqualValues(t, 9, beats[len(beats)-1].Version)
+	ctl.storeAt = ctl.storeAt.Add(freshStep)
+	ctl.sayBeats(now)
+	require.Len(t, of[mesh.Beat](lnk, "a"), whole+2, "news of the store")
+}
+
+// Lists wait at their links for a place; what is small passes, and the end of
+// the control thread lets go of all that wait.
+func TestLargeMessagesWaitAtTheirLinks(t *testing.T) {
+	ctl, _ := newControl(t)
+	list := make([]stock.Known, 500)
+	waiting := group.New(context.Background())
+	for range 3 * largeMessages {
+		waiting.Go(func(context.Context) error {
+			ctl.Got("a", mesh.Servers{List: list})
+			return nil
+		})
+	}
+	require.Eventually(t, func() bool { return len(ctl.que) == largeMessages }, 10*time.Second, time.Millisecond)
+	ctl.Got("a", mesh.Again{})
+	require.Len(t, ctl.que, largeMessages+1)
+	for range largeMessages {
+		(<-ctl.que).apply(ctl, ctl.clk.Now())
+	}
+	require.Eventually(t, func() bool { return len(ctl.que) == largeMessages+1 }, 10*time.Second, time.Millisecond)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for len(ctl.que) > 0 {
+		(<-ctl.que).apply(ctl, ctl.clk.Now())
+		time.Sleep(time.Millisecond)
+	}
+	require.NoError(t, ctl.Run(ctx))
+	require.NoError(t, waiting.Wait())
+}
+
+// 300 peers ask at once: answers go out at a bounded rate, one peer's words are
+// held at a time, and who waited too long has asked another.
+func TestAnswersArePaced(t *testing.T) {
+	ctl, lnk := newControl(t)
+	var list []stock.Known
+	for num := range 3000 {
+		kno := engine("lovage-pool-"+strconv.Itoa(num), int64(num+10))
+		kno.Entry.Address = "10.1." + strconv.Itoa(num%250) + ".7:8000"
+		list = append(list, kno)
+	}
+	ctl.do(evConfig{doc: []byte("3")}, evServers{list: follow.Listing{Revision: 5000, Words: list}, whole: true})
+	now := ctl.clk.Now()
+	for num := range 300 {
+		ctl.asks(now, "p"+strconv.Itoa(num), nil)
+		ctl.asks(now, "p"+strconv.Itoa(num), nil)
+	}
+	sent := func() (sum int) {
+		for adr := range lnk.sent {
+			for _, msg := range lnk.sent[adr] {
+				sum += mesh.Size(now, msg)
+			}
+		}
+		return sum
+	}
+	for past := time.Duration(0); past < 900*time.Millisecond; past += tickPeriod {
+		ctl.answer(now.Add(past))
+		require.LessOrEqual(t, sent(), int(answerBurst+past.Seconds()*answerRate)+64<<10)
+		require.LessOrEqual(t, len(ctl.news.pending), len(list))
+	}
+	pieces := of[mesh.Servers](lnk, "p0")
+	require.Len(t, pieces, 15)
+	got := 0
+	for idx, one := range pieces {
+		got += len(one.List)
+		require.Equal(t, idx < 14, one.Part)
+	}
+	require.Equal(t, 3000, got)
+	ctl.answer(now.Add(askWait))
+	ctl.answer(now.Add(2 * askWait))
+	require.Empty(t, ctl.news.waiting)
+}
--- a/io/edge/large_test.go
+++ b/io/edge/large_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"container/heap"
 	"context"
+	"flag"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -15,6 +16,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
 
 	"lovagestream/core/stock"
 	"lovagestream/core/table"
@@ -132,7 +134,10 @@
 	revision int64
 	document []byte
 	entries  map[string]stock.Known
-	storeOut bool
+	version  int64
+	reports  int64
+	// cut is a zone that reaches neither the others nor the store.
+	cut string
 }
 
 func newSimFleet(t *testing.T, size int, seed uint64) *simFleet {
@@ -148,9 +153,9 @@
 		sim.byAdr[nod.address] = nod
 	}
 	for num := range size * simServers {
-		sim.put(fmt.Sprintf("lovage-pool-zone-%d-%04d", num%simZones, num), 1)
+		sim.put(fmt.Sprintf("lovage-pool-zone-%d-%04d", num%simZones, num), 0)
 	}
-	sim.publish(1)
+	sim.configure()
 	return sim
 }
 
@@ -207,6 +212,11 @@
 	heap.Push(&sim.que, par)
 }
 
+// apart reports whether a cut lies between two instances.
+func (sim *simFleet) apart(one, two *simNode) bool {
+	return sim.cut != "" && one.zone != two.zone && (one.zone == sim.cut || two.zone == sim.cut)
+}
+
 func (sim *simFleet) unlink(nod *simNode, address string) {
 	oth := sim.byAdr[address]
 	delete(nod.links, address)
@@ -220,7 +230,10 @@
 	sim := nod.sim
 	sim.post(&parcel{at: sim.clk.now.Add(2 * simDelay), to: nod, then: func() {
 		oth := sim.byAdr[address]
-		if !oth.up {
+		if !nod.up {
+			return
+		}
+		if !oth.up || sim.apart(nod, oth) {
 			sim.post(&parcel{at: sim.clk.now, to: nod, evt: evUnlinked{address: address}})
 			return
 		}
@@ -302,7 +315,7 @@
 
 // read plays the reader of the store.
 func (sim *simFleet) read(nod *simNode) {
-	if !nod.ctl.Duty().Reads || sim.storeOut {
+	if !nod.ctl.Duty().Reads || nod.zone == sim.cut {
 		nod.reading = false
 		return
 	}
@@ -318,7 +331,9 @@
 	sim.apply(nod, evConfig{doc: sim.document})
 	lst := follow.Listing{Revision: sim.revision}
 	for _, kno := range sim.entries {
-		lst.Words = append(lst.Words, kno)
+		if !kno.Gone {
+			lst.Words = append(lst.Words, kno)
+		}
 	}
 	sim.apply(nod, evServers{list: lst, whole: true})
 }
@@ -326,7 +341,7 @@
 // news brings a change of the store to those that follow it.
 func (sim *simFleet) news(evt event) {
 	for _, nod := range sim.nodes {
-		if nod.up && nod.reading {
+		if nod.up && nod.reading && nod.zone != sim.cut {
 			sim.post(&parcel{at: sim.clk.now.Add(time.Duration(sim.rnd.IntN(20)) * time.Millisecond), to: nod, evt: evt})
 		}
 	}
@@ -436,8 +451,9 @@
 
 // change has a fifth of the servers report anew.
 func (sim *simFleet) change() {
+	sim.reports++
 	for num := range len(sim.nodes) * simServers / 5 {
-		kno := sim.put(fmt.Sprintf("lovage-pool-zone-%d-%04d", num%simZones, num), 2)
+		kno := sim.put(fmt.Sprintf("lovage-pool-zone-%d-%04d", num%simZones, num), sim.reports)
 		sim.news(evServers{list: follow.Listing{Revision: kno.Revision, Words: []stock.Known{kno}}})
 	}
 }
@@ -459,19 +475,115 @@
 	}
 }
 
-func TestTrial(t *testing.T) {
-	for _, size := range []int{30, 100, 300} {
-		beg := time.Now()
-		sim := newSimFleet(t, size, 1)
-		sim.during("start", 15*time.Second, sim.startAll)
-		t.Log(sim.unlike(), sim.known(), time.Since(beg))
-		sim.during("steady", 20*time.Second, func() {})
-		t.Log(sim.unlike(), sim.known(), time.Since(beg))
-		sim.during("servers", 10*time.Second, sim.change)
-		t.Log(sim.unlike(), sim.known(), time.Since(beg))
-		sim.during("configuration", 5*time.Second, func() { sim.publish(2); sim.news(evConfig{doc: sim.document}) })
-		t.Log(sim.unlike(), sim.known(), time.Since(beg))
-		sim.during("restart", 15*time.Second, sim.restart)
-		t.Log(sim.unlike(), sim.known(), time.Since(beg))
+// linkAim is what control may take of an instance's link, in bytes a second.
+const linkAim = 26 << 10
+
+// shortFleetMost is up to how many instances traffic may grow in proportion.
+const shortFleetMost = 200
+
+// burstAim is what a start, a change or a restart may take of the busiest, for
+// each instance of the fleet: two seconds of a link of 10 Mbit/s at 300.
+const burstAim = 2 * simRate / 300
+
+// waitAim is what may wait for all links of an instance, in bytes.
+const waitAim = 4 << 20
+
+// fleetSizes are instances of the simulated fleets; 300 takes three minutes.
+// steadySpan is how long each stands still.
+var (
+	fleetSizes = flag.String("fleet", "30,60", "sizes of simulated fleets")
+	steadySpan = flag.Duration("steady", 20*time.Second, "how long a simulated fleet stands still")
+)
+
+// A fleet grows to 300 instances with ten servers each. Told whole, what each
+// knows of servers, members and the configuration filled the links of those
+// that many link to; beats waited behind it, links that seemed silent were cut,
+// and each new one brought everything again, until an instance went over its
+// memory. Here the fleet starts at once, stands still, has a fifth of its
+// servers and its configuration changed, loses a third at once, has a zone cut
+// off while both change, and its hubs lost; afterwards everybody knows
+// everything, and nobody has told more than its link carries.
+func TestLargeFleetsTellDifferences(t *testing.T) {
+	for _, word := range strings.Split(*fleetSizes, ",") {
+		size, err := strconv.Atoi(word)
+		require.NoError(t, err)
+		t.Run(word, func(t *testing.T) {
+			t.Parallel()
+			sim := newSimFleet(t, size, 1)
+			burst := int(burstAim * float64(size))
+			check := func(what string, span time.Duration, most int, change func()) {
+				trf := sim.during(what, span, change)
+				require.LessOrEqual(t, trf.busiest, most, what)
+				require.LessOrEqual(t, trf.held, waitAim, what)
+				require.Zero(t, sim.unlike(), "%s: instances that don't know what the store holds", what)
+				require.Equal(t, size, sim.known(), "%s: members that everybody knows", what)
+			}
+			steady := linkAim * min(size, shortFleetMost) / shortFleetMost
+			check("start", 15*time.Second, burst, sim.startAll)
+			check("steady", *steadySpan, int(steadySpan.Seconds())*steady, func() {})
+			check("servers", 5*time.Second, burst, sim.change)
+			check("configuration", 5*time.Second, sim.documents(), sim.configure)
+			check("restart", 15*time.Second, burst, sim.restart)
+			check("cut", 15*time.Second, burst+sim.documents(), sim.cutZone)
+			check("hubs", 15*time.Second, burst+sim.documents(), sim.loseHubs)
+			check("steady again", *steadySpan, int(steadySpan.Seconds())*steady, func() {})
+		})
+	}
+}
+
+// documents are the bytes of one configuration for each instance, as it is sent.
+func (sim *simFleet) documents() int {
+	raw, err := mesh.Pack(sim.document)
+	require.NoError(sim.t, err)
+	return len(sim.nodes) * (len(raw) + 1<<10)
+}
+
+func (sim *simFleet) configure() {
+	sim.version++
+	sim.publish(sim.version)
+	sim.news(evConfig{doc: sim.document})
+}
+
+// cutZone cuts the last zone off from the others and from the store for ten
+// seconds, while servers come and go and the configuration changes.
+func (sim *simFleet) cutZone() {
+	sim.reports++
+	sim.cut = "zone-" + strconv.Itoa(simZones-1)
+	for _, nod := range sim.nodes {
+		for adr := range nod.links {
+			if sim.apart(nod, sim.byAdr[adr]) {
+				sim.unlink(nod, adr)
+			}
+		}
+	}
+	sim.run(2 * time.Second)
+	sim.configure()
+	for num := range len(sim.nodes) {
+		id := fmt.Sprintf("lovage-pool-zone-%d-%04d", num%simZones, num)
+		kno := sim.put(id, sim.reports)
+		if num%2 == 1 {
+			kno.Gone = true
+			sim.entries[id] = kno
+		}
+		sim.news(evServers{list: follow.Listing{Revision: kno.Revision, Words: []stock.Known{kno}}})
+	}
+	sim.run(8 * time.Second)
+	sim.cut = ""
+}
+
+// loseHubs kills all large instances at once and starts them again after a
+// change.
+func (sim *simFleet) loseHubs() {
+	for _, nod := range sim.nodes[:simLarge*simZones] {
+		sim.kill(nod)
+	}
+	sim.run(time.Second)
+	sim.change()
+	sim.configure()
+	sim.run(4 * time.Second)
+	for _, nod := range sim.nodes[:simLarge*simZones] {
+		sent, count := nod.sent, nod.count
+		sim.start(nod)
+		nod.sent, nod.count = sent, count
 	}
 }
