--- a/io/edge/news.go
+++ b/io/edge/news.go
@@ -359,8 +359,8 @@
 // members to those that link to them, who see few others.
 const membersPeriod = 10 * time.Second
 
-// tellMembers names those that joined to the peers of the zone, and now and then
-// tells a digest.
+// tellMembers names members of the own zone that joined to all peers, who else hear
+// of them from hubs only, and now and then tells a digest.
 func (ctl *Control) tellMembers(now time.Time) {
 	joined := ctl.news.joined
 	ctl.news.joined = nil
