Count the room that unknown results leave in estimates

Change: a server counts in estimates by the room that unknown results leave. Red: 1 s for a queue of 2 s.

--- a/core/batch/held_test.go
+++ b/core/batch/held_test.go
@@ -267,3 +267,17 @@
 	require.Greater(t, ser.puff, 1.0)
 	require.Zero(t, ser.hidden)
 }
+
+// Half of a server's room is taken by unknown results. A queue must count as
+// twice as long as with all of it: taken for whole, the pool lets in twice what
+// fits, and everybody is late in turn.
+func TestUnknownResultsCountInEstimates(t *testing.T) {
+	dsk, _ := newDesk(both...)
+	pol := dsk.pools["first"]
+	pol.ahead = backlog{work: time.Second, servers: dsk.busy(start, pol).servers}
+	whole := pol.ahead.wait()
+	pol.servers["f1"].hidden, pol.servers["f1"].hiddenUntil = pol.svc.Batch.Room/2, start.Add(time.Second)
+	pol.ahead.servers = dsk.busy(start, pol).servers
+	require.Equal(t, 2*whole, pol.ahead.wait())
+	require.InDelta(t, 1, dsk.busy(start.Add(time.Second), pol).servers, 0, "they have expired")
+}
--- a/core/batch/order.go
+++ b/core/batch/order.go
@@ -163,7 +163,7 @@
 		}
 		bkl.work += left
 		bkl.first = min(bkl.first, left)
-		bkl.servers += 1 / max(1, ser.slowness(now))
+		bkl.servers += ser.roomLeft(now, pol.svc.Batch.Room) / max(1, ser.slowness(now))
 	}
 	return bkl
 }
--- a/core/batch/room.go
+++ b/core/batch/room.go
@@ -63,3 +63,12 @@
 	}
 	return ser.hidden
 }
+
+// roomLeft is the share of a server's room that unknown results leave.
+//
+// Load pattern: after a loss half of all room is taken for seconds by what
+// nobody knows of. Estimates that take servers for whole let in twice what fits,
+// and everybody is late in turn.
+func (ser *server) roomLeft(now time.Time, room int64) float64 {
+	return max(leastSpare, 1-float64(ser.unknown(now))/float64(room))
+}
