--- a/io/accept/accept_test.go
+++ b/io/accept/accept_test.go
@@ -203,7 +203,8 @@
 	hst.lis.EndAfter(time.Hour)
 	require.Zero(t, hst.lis.EndIdle(), "its caller may be about to go on")
 	hst.lis.EndAfter(0)
-	require.Equal(t, 1, hst.lis.EndIdle())
+	// A caller may have its answer before the HTTP server says that it waits.
+	require.Eventually(t, func() bool { return hst.lis.EndIdle() == 1 }, time.Second, time.Millisecond)
 	require.Equal(t, 2, hst.lis.Open(), "the unused one is left")
 	require.Zero(t, hst.lis.Drain(context.Background()))
 	require.True(t, <-got)
--- a/stand/field/field_test.go
+++ b/stand/field/field_test.go
@@ -21,15 +21,7 @@
 	dir := t.TempDir()
 	require.NoError(t, world.Build(dir))
 	var out bytes.Buffer
-	// All kinds but the one of a known red test (KNOWN-RED.txt): by hand it is
-	// drawn as the others are.
-	var kinds []string
-	for _, flt := range faults {
-		if flt.name != "clock-behind-at-start" {
-			kinds = append(kinds, flt.name)
-		}
-	}
-	rep, err := Run(context.Background(), Options{Only: kinds, Seed: 1, Length: 14 * time.Second, Instances: 1, Rate: 20, Kept: 12, Think: 100 * time.Millisecond, Every: 1500 * time.Millisecond, Dir: dir, Out: &out})
+	rep, err := Run(context.Background(), Options{Seed: 1, Length: 14 * time.Second, Instances: 1, Rate: 20, Kept: 12, Think: 100 * time.Millisecond, Every: 1500 * time.Millisecond, Dir: dir, Out: &out})
 	require.NoError(t, err)
 	require.Empty(t, rep.Problems, "%s", out.String())
 	require.Greater(t, rep.Served, rep.Sends/2)
