Callers who send bodies in chunks keep their connections

Cause: the watch on lengths given in two ways came without listeners that carry it, and without one every request in chunks was the last on its connection: callers opened a new one for each. io/accept's connections carry it now. Red before: case ordinary-in-chunks of both paths ("gave 0 to a further request, want kept"). The case trailer is kept, too: its field is none of the request. The case folded-coding, which was closed only for want of a watch, is closed for its fold now: a coding on a folded line may be none to a balancer that goes by lines.

--- a/io/accept/accept.go
+++ b/io/accept/accept.go
@@ -26,6 +26,7 @@
 	"github.com/pkg/errors"
 
 	"lovagestream/io/clock"
+	"lovagestream/io/frame"
 )
 
 // settleTime is how long a connection must have waited for a request before it
@@ -159,10 +160,14 @@
 	han := srv.Handler
 	srv.ConnState = note
 	srv.ConnContext = func(ctx context.Context, raw net.Conn) context.Context {
-		return context.WithValue(ctx, connKey{}, own(raw))
+		con := own(raw)
+		if con == nil {
+			return ctx
+		}
+		return frame.Context(context.WithValue(ctx, connKey{}, con), con)
 	}
 	srv.Handler = http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
-		if con, ok := req.Context().Value(connKey{}).(*Conn); ok && con != nil && !con.begin() {
+		if con, ok := req.Context().Value(connKey{}).(*Conn); ok && !con.begin() {
 			panic(http.ErrAbortHandler)
 		}
 		han.ServeHTTP(wri, req)
--- a/io/accept/conn.go
+++ b/io/accept/conn.go
@@ -11,6 +11,8 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"lovagestream/io/frame"
 )
 
 // phase is what a connection is at.
@@ -27,12 +29,17 @@
 	ended
 )
 
+var _ frame.Watched = (*Conn)(nil)
+
 // Conn is a caller's connection.
 type Conn struct {
 	net.Conn
 	lis *Listener
 	soc syscall.RawConn
 
+	// wat follows the requests' bytes. Reads don't overlap, so neither do they.
+	wat frame.Watch
+
 	// wrote is set once something was written since the request was taken.
 	wrote atomic.Bool
 
@@ -66,12 +73,16 @@
 		}
 		num, err = con.read(buf)
 	}
+	con.wat.See(buf[:max(0, num)])
 	if err != nil {
 		con.fail()
 	}
 	return num, err
 }
 
+// Framing returns the watch on requests whose length is given in two ways.
+func (con *Conn) Framing() *frame.Watch { return &con.wat }
+
 func (con *Conn) read(buf []byte) (int, error) {
 	if con.at() != waiting {
 		return con.Conn.Read(buf)
--- a/io/frame/frame.go
+++ b/io/frame/frame.go
@@ -73,6 +73,11 @@
 	if len(line) == 0 || len(line) == 1 && line[0] == '\r' {
 		wat.length, wat.coding = false, false
 	}
+	// A coding whose line is folded may be no coding to who sees lines only.
+	folded := len(line) > 0 && (line[0] == ' ' || line[0] == '\t')
+	if wat.coding && folded {
+		wat.both.Store(true)
+	}
 	name, _, found := bytes.Cut(line, []byte(":"))
 	if found {
 		wat.length = wat.length || bytes.EqualFold(name, []byte(fieldLength))
