Let callers read the answer to a request that can't be read

A malformed head before a long body got its 400 from net/http, which closed the connection with the body unread: the kernel reset it and the caller lost the answer. The connection now ends its sending and reads on for 500 ms and 1 MB at most.

--- a/io/accept/conn.go
+++ b/io/accept/conn.go
@@ -31,6 +31,14 @@
 
 var _ frame.Watched = (*Conn)(nil)
 
+// lingerTime and lingerMost, in bytes, bound the reading of what follows a
+// request that can't be read: as long, and four times as much, as net/http
+// grants a caller whose body it leaves unread.
+const (
+	lingerTime = 500 * time.Millisecond
+	lingerMost = 1 << 20
+)
+
 // Conn is a caller's connection.
 type Conn struct {
 	net.Conn
@@ -273,9 +281,32 @@
 	if con.unanswered() {
 		con.lis.lost(con.RemoteAddr())
 	}
+	if con.answeredUnread() {
+		con.linger()
+	}
 	return con.Conn.Close()
 }
 
+// answeredUnread reports a request that the HTTP server answered by itself: it
+// could not be read, and its caller may still be sending.
+func (con *Conn) answeredUnread() bool {
+	con.mu.Lock()
+	defer con.mu.Unlock()
+	return con.phase == taken && !con.begun && !con.failed && con.wrote.Load()
+}
+
+// linger reads what the caller still sends, until it ends its side or for a
+// moment. With unread bytes in it, a connection that is closed is reset; the
+// answer that says what was wrong is lost with it, and the caller, which saw
+// none, sends the same again elsewhere.
+func (con *Conn) linger() {
+	if con.CloseWrite() != nil || con.Conn.SetReadDeadline(con.lis.clk.Now().Add(lingerTime)) != nil {
+		return
+	}
+	// Whatever ends it, the connection is closed next.
+	_, _ = io.Copy(io.Discard, io.LimitReader(con.Conn, lingerMost))
+}
+
 // unanswered reports a request that was taken, that no handler began and that
 // the HTTP server didn't answer by itself.
 func (con *Conn) unanswered() bool {
