--- a/stand/field/network.go
+++ b/stand/field/network.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"time"
 
-	"github.com/pkg/errors"
-
+	"lovagestream/platform/fakes"
 	"lovagestream/stand/proxy"
 )
 
@@ -40,26 +38,15 @@
 	return fmt.Sprintf("127.%d.%d.", fld.network, zone+1)
 }
 
-const (
-	// firstNetwork and networks are the second parts of addresses that runs take.
-	firstNetwork = 100
-	networks     = 100
-	// claimPort is the port whose listener holds a network.
-	claimPort = 7100
-)
+// networkSeeds is how many seeds lead to networks of their own.
+const networkSeeds = 100
 
 // claim takes a network that no other run on the machine has. The one of the
 // seed comes first.
 func (fld *Field) claim() error {
-	for num := range networks {
-		fld.network = firstNetwork + (int(fld.opt.Seed%networks)+num)%networks
-		lis, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:%d", fld.network, claimPort))
-		if err == nil {
-			fld.held = lis
-			return nil
-		}
-	}
-	return errors.Errorf("all %d networks are taken", networks)
+	var err error
+	fld.network, fld.held, err = fakes.Claim(int(fld.opt.Seed % networkSeeds))
+	return err
 }
 
 func (brk *breaker) harmServer(ctx context.Context) error {
