--- a/io/accept/rare_test.go
+++ b/io/accept/rare_test.go
@@ -17,6 +17,29 @@
 	"lovagestream/io/group"
 )
 
+// pipelined sends two requests in one piece, and returns once the second runs.
+func (hst *host) pipelined(t *testing.T) *caller {
+	t.Helper()
+	cal := hst.dial(t)
+	_, err := io.WriteString(cal.con, "GET / HTTP/1.1\r\nHost: h\r\nId: one\r\n\r\nGET / HTTP/1.1\r\nHost: h\r\nId: two\r\nWait: 400ms\r\n\r\n")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return hst.didRun("two") }, time.Second, time.Millisecond)
+	return cal
+}
+
+// answers reads whole answers.
+func (cal *caller) answers(t *testing.T, ids ...string) {
+	t.Helper()
+	for _, id := range ids {
+		_ = cal.con.SetReadDeadline(time.Now().Add(5 * time.Second))
+		res, err := http.ReadResponse(cal.rdr, nil)
+		require.NoError(t, err, "the answer to %s", id)
+		_, err = io.Copy(io.Discard, res.Body)
+		require.NoError(t, err, "the answer to %s", id)
+		_ = res.Body.Close()
+	}
+}
+
 // TestPipelinedRequestKeepsItsConnection:
 //
 // A caller sends two requests in one piece. The HTTP server takes both from the
@@ -26,10 +49,7 @@
 func TestPipelinedRequestKeepsItsConnection(t *testing.T) {
 	t.Parallel()
 	hst := newHost(t, accept.Limits{})
-	cal := hst.dial(t)
-	_, err := io.WriteString(cal.con, "GET / HTTP/1.1\r\nHost: h\r\nId: one\r\n\r\nGET / HTTP/1.1\r\nHost: h\r\nId: two\r\nWait: 400ms\r\n\r\n")
-	require.NoError(t, err)
-	require.Eventually(t, func() bool { return hst.didRun("two") }, time.Second, time.Millisecond)
+	cal := hst.pipelined(t)
 	grp := group.New(context.Background())
 	grp.Go(func(context.Context) error {
 		for range 30 {
@@ -38,14 +58,7 @@
 		}
 		return nil
 	})
-	for _, id := range []string{"one", "two"} {
-		_ = cal.con.SetReadDeadline(time.Now().Add(5 * time.Second))
-		res, err := http.ReadResponse(cal.rdr, nil)
-		require.NoError(t, err, "the answer to %s", id)
-		_, err = io.Copy(io.Discard, res.Body)
-		require.NoError(t, err, "the answer to %s", id)
-		_ = res.Body.Close()
-	}
+	cal.answers(t, "one", "two")
 	require.NoError(t, grp.Wait())
 }
 
@@ -55,21 +68,11 @@
 func TestDrainWaitsForAPipelinedRequest(t *testing.T) {
 	t.Parallel()
 	hst := newHost(t, accept.Limits{})
-	cal := hst.dial(t)
-	_, err := io.WriteString(cal.con, "GET / HTTP/1.1\r\nHost: h\r\nId: one\r\n\r\nGET / HTTP/1.1\r\nHost: h\r\nId: two\r\nWait: 400ms\r\n\r\n")
-	require.NoError(t, err)
-	require.Eventually(t, func() bool { return hst.didRun("two") }, time.Second, time.Millisecond)
+	cal := hst.pipelined(t)
 	begun := time.Now()
 	require.Zero(t, hst.lis.Drain(context.Background()))
 	t.Logf("drained in %s", time.Since(begun))
-	for _, id := range []string{"one", "two"} {
-		_ = cal.con.SetReadDeadline(time.Now().Add(5 * time.Second))
-		res, err := http.ReadResponse(cal.rdr, nil)
-		require.NoError(t, err, "the answer to %s", id)
-		_, err = io.Copy(io.Discard, res.Body)
-		require.NoError(t, err, "the answer to %s", id)
-		_ = res.Body.Close()
-	}
+	cal.answers(t, "one", "two")
 }
 
 // TestRequestInTimeIsReadWithoutALimitForHeads:
--- a/io/serve/stop_test.go
+++ b/io/serve/stop_test.go
@@ -17,49 +17,82 @@
 	"lovagestream/stand/stall"
 )
 
-// TestStopRefusesARequestThatWasJustRead:
-//
-// An instance that is stopped as planned had nothing under way and ended its
-// listeners. A request had been read by then, and its goroutine had not said so
-// yet. The HTTP server dropped it without a word: the caller, whose request may
-// not be repeated, was left with an unknown outcome instead of a refusal that
-// says that nothing was run.
-func TestStopRefusesARequestThatWasJustRead(t *testing.T) {
-	t.Parallel()
+// stopped is an instance that is stopped while it has read a request's head on
+// one of its listeners and no more.
+type stopped struct {
+	lis  *stall.Listener
+	con  net.Conn
+	done chan error
+	grp  *group.Group
+}
+
+// stopUnder sends a request to a listener of a new instance, and stops the
+// instance once it has read its head.
+func stopUnder(t *testing.T, pick func(*Node) *net.Listener, request string) *stopped {
+	t.Helper()
 	set, err := setup.Read("test", []byte("instance: entry-1\nzone: z\noperators:\n  open: true\nplatform:\n  url: http://127.0.0.1:1\n"))
 	require.NoError(t, err)
 	nod, err := New(set, logs.Quiet(), 1)
 	require.NoError(t, err)
-	lis := stall.New(nod.callers)
-	nod.callers = lis
+	sto := &stopped{lis: stall.New(*pick(nod)), done: make(chan error, 1), grp: group.New(context.Background())}
+	*pick(nod) = sto.lis
 	nod.build()
-	grp := group.New(context.Background())
-	done := make(chan error, 1)
-	grp.Go(func(ctx context.Context) error {
-		done <- nod.Run(ctx)
+	sto.grp.Go(func(ctx context.Context) error {
+		sto.done <- nod.Run(ctx)
 		return nil
 	})
-	con, err := net.Dial("tcp", lis.Addr().String())
+	sto.con, err = net.Dial("tcp", sto.lis.Addr().String())
 	require.NoError(t, err)
-	defer func() { _ = con.Close() }()
-	require.Eventually(t, lis.Waiting, 5*time.Second, time.Millisecond)
-	lis.HoldHead()
-	_, err = io.WriteString(con, "POST /v1/pipelines/x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{}")
+	t.Cleanup(func() { _ = sto.con.Close() })
+	sto.lis.HoldHead()
+	_, err = io.WriteString(sto.con, request)
 	require.NoError(t, err)
-	<-lis.Held()
-	grp.Go(func(context.Context) error { return nod.Stop() })
+	<-sto.lis.Held()
+	sto.grp.Go(func(context.Context) error { return nod.Stop() })
+	return sto
+}
+
+// answer lets the request go on after a while of stopping, and reads its answer.
+func (sto *stopped) answer(t *testing.T, after time.Duration) *http.Response {
+	t.Helper()
 	select {
-	case err := <-done:
+	case err := <-sto.done:
 		require.Fail(t, "the instance ended under a request", "error %v", err)
-	case <-time.After(time.Second):
+	case <-time.After(after):
 	}
-	lis.Release()
-
-	_ = con.SetReadDeadline(time.Now().Add(5 * time.Second))
-	res, err := http.ReadResponse(bufio.NewReader(con), nil)
+	sto.lis.Release()
+	_ = sto.con.SetReadDeadline(time.Now().Add(5 * time.Second))
+	res, err := http.ReadResponse(bufio.NewReader(sto.con), nil)
 	require.NoError(t, err)
-	defer func() { _ = res.Body.Close() }()
+	_ = res.Body.Close()
+	require.NoError(t, <-sto.done)
+	return res
+}
+
+// TestStopRefusesARequestThatWasJustRead:
+//
+// An instance that is stopped as planned had nothing under way and ended its
+// listeners. A request had been read by then, and its goroutine had not said so
+// yet. The HTTP server dropped it without a word: the caller, whose request may
+// not be repeated, was left with an unknown outcome instead of a refusal that
+// says that nothing was run.
+func TestStopRefusesARequestThatWasJustRead(t *testing.T) {
+	t.Parallel()
+	sto := stopUnder(t, func(nod *Node) *net.Listener { return &nod.callers },
+		"POST /v1/pipelines/x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{}")
+	res := sto.answer(t, time.Second)
 	require.Equal(t, http.StatusServiceUnavailable, res.StatusCode)
 	require.True(t, res.Close)
-	require.NoError(t, <-done)
+}
+
+// TestStopAnswersAnOperatorWhoWasJustRead:
+//
+// An operator asked an instance for something in the moment in which it ended.
+// The operators' listener ended the HTTP server's own way: what was read and not
+// begun was dropped without a word.
+func TestStopAnswersAnOperatorWhoWasJustRead(t *testing.T) {
+	t.Parallel()
+	sto := stopUnder(t, func(nod *Node) *net.Listener { return &nod.operators }, "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n")
+	res := sto.answer(t, 300*time.Millisecond)
+	require.Equal(t, http.StatusOK, res.StatusCode)
 }
