Own path: tunnels and HTTP/2's preface are refused, not redirected

Cause: the library's router stood before the callers' own and answered what is no request for a path with a redirect, and kept a tunnel's connection open. Red first: with the router the two cases gave 301 (one kept); both are 400 and closed now, as on the platform's path.

--- a/io/serve/serve.go
+++ b/io/serve/serve.go
@@ -168,7 +168,9 @@
 	nod.kept = accept.New(nod.callers, nod.clk, nod.limits, nod.cut)
 	callers := khttp.NewServer(khttp.Listener(nod.kept), khttp.Timeout(0))
 	limitCallers(callers.Server, nod.set.Bounds())
-	callers.HandlePrefix("/", nod.frt.Handler())
+	// No router comes before the callers' own: it would answer what is no request
+	// for a path, such as a tunnel's, by a redirect.
+	callers.Handler = nod.frt.Handler()
 	nod.kept.Attach(callers.Server)
 	nod.watched = accept.New(nod.operators, nod.clk, func() accept.Limits { return accept.Limits{} }, nod.cut)
 	operators := khttp.NewServer(nod.operatorOptions()...)
