A stop that comes before the links listen is no error

Red first: TestStopBeforeStartEndsWell ("the server has been stopped"); io/peer green three times with the race detector. The platform's links look at their context already.

--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -137,7 +137,12 @@
 		hub.sec.Watch(ctx, hub.clk, hub.log, hub.recheck)
 		return nil
 	})
-	return errors.Wrap(hub.srv.Serve(hub.lis), "peer links")
+	err := hub.srv.Serve(hub.lis)
+	if errors.Is(err, grpc.ErrServerStopped) {
+		// Stop came first, which is no fault of the links.
+		return nil
+	}
+	return errors.Wrap(err, "peer links")
 }
 
 // Stop closes every link.
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -72,6 +72,20 @@
 	return hub, ibx
 }
 
+// TestStopBeforeStartEndsWell:
+//
+// An instance was stopped as planned in the moment in which it started. Its links
+// were stopped before they began to listen, which the library tells as an error,
+// and the process ended with one, as if something had gone wrong.
+func TestStopBeforeStartEndsWell(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ibx := &inbox{events: make(chan core.Event, 1)}
+	hub := New("entry-1", lis, origin.Origin{}, Open{}, ibx, clock.System{}, logs.Quiet().For("peer"))
+	require.NoError(t, hub.Stop(t.Context()))
+	require.NoError(t, hub.Start(t.Context()))
+}
+
 func receive(t *testing.T, ibx *inbox) core.PeerSaid {
 	t.Helper()
 	for {
