--- a/core/place/place.go
+++ b/core/place/place.go
@@ -93,9 +93,9 @@
 	dark func(zone string) bool
 }
 
-// Doubt sets which zones went silent; their engines get a request only where no
+// Suspect sets which zones went silent; their engines get a request only where no
 // other can take it.
-func (pol *Pool) Doubt(dark func(zone string) bool) { pol.dark = dark }
+func (pol *Pool) Suspect(dark func(zone string) bool) { pol.dark = dark }
 
 // darkPrice is what an engine of a silent zone costs: a request that is sent
 // into a partition is lost.
--- a/core/batch/repeats.go
+++ b/core/sched/budget.go
@@ -1,14 +1,14 @@
-package batch
+package sched
 
 import "time"
 
-// Repeats bounds how many requests of a service are sent once more, in any
+// RetryBudget bounds how many requests of a service are sent once more, in any
 // window, by a share of its requests and a fixed number on top. All entry
 // instances together may spend that; Part is this one's part.
 //
 // Load pattern: a pool fails, and every request to it is sent twice, which
 // keeps it from coming back.
-type Repeats struct {
+type RetryBudget struct {
 	ratio  float64
 	slack  float64
 	window time.Duration
@@ -25,16 +25,16 @@
 // steps is how many steps a window has.
 const steps = 20
 
-// NewRepeats returns a budget.
-func NewRepeats(ratio float64, slack int, window time.Duration) *Repeats {
-	return &Repeats{ratio: ratio, slack: float64(slack), window: window, part: 1, rows: map[string][]slice{}}
+// NewRetryBudget returns a budget.
+func NewRetryBudget(ratio float64, slack int, window time.Duration) *RetryBudget {
+	return &RetryBudget{ratio: ratio, slack: float64(slack), window: window, part: 1, rows: map[string][]slice{}}
 }
 
 // SetPart sets the part of the fixed number that this instance may spend.
-func (rep *Repeats) SetPart(part float64) { rep.part = part }
+func (rep *RetryBudget) SetPart(part float64) { rep.part = part }
 
 // Count notes a request.
-func (rep *Repeats) Count(now time.Time, service string, again bool) {
+func (rep *RetryBudget) Count(now time.Time, service string, again bool) {
 	row := rep.trim(now, service)
 	if len(row) == 0 || now.Sub(row[len(row)-1].at) > rep.window/steps {
 		row = append(row, slice{at: now})
@@ -47,7 +47,7 @@
 	rep.rows[service] = row
 }
 
-func (rep *Repeats) trim(now time.Time, service string) []slice {
+func (rep *RetryBudget) trim(now time.Time, service string) []slice {
 	row := rep.rows[service]
 	for len(row) > 0 && now.Sub(row[0].at) > rep.window+rep.window/steps {
 		row = row[1:]
@@ -57,7 +57,7 @@
 
 // Allow reports whether one more repeat is within the budget; the repeat itself
 // may be counted already.
-func (rep *Repeats) Allow(now time.Time, service string) bool {
+func (rep *RetryBudget) Allow(now time.Time, service string) bool {
 	fresh, repeats := 0, 0
 	for _, sli := range rep.trim(now, service) {
 		fresh += sli.fresh
--- a/core/batch/fill.go
+++ b/core/sched/fill.go
@@ -1,4 +1,4 @@
-package batch
+package sched
 
 import (
 	"sort"
@@ -22,37 +22,37 @@
 )
 
 // dispatch sends what servers can take now.
-func (dsk *Desk) dispatch(now time.Time) {
-	for _, pol := range dsk.pools {
-		dsk.fillPool(now, pol)
+func (sch *Scheduler) dispatch(now time.Time) {
+	for _, pol := range sch.pools {
+		sch.fillPool(now, pol)
 	}
-	dsk.settleAll(now)
+	sch.settleAll(now)
 }
 
 // settleAll looks for engines for the jobs that wait for one, in their order:
 // while engines are full, each place that becomes free goes to who is first.
-func (dsk *Desk) settleAll(now time.Time) {
-	if len(dsk.ready) == 0 {
+func (sch *Scheduler) settleAll(now time.Time) {
+	if len(sch.ready) == 0 {
 		return
 	}
-	jobs := make([]*job, 0, len(dsk.ready))
-	for _, job := range dsk.ready {
-		job.rank, job.rankAt = dsk.newRank(now, job), now
+	jobs := make([]*job, 0, len(sch.ready))
+	for _, job := range sch.ready {
+		job.rank, job.rankAt = sch.newRank(now, job), now
 		jobs = append(jobs, job)
 	}
 	sort.Slice(jobs, func(i, j int) bool { return jobs[i].rank.before(jobs[j].rank) })
 	for _, job := range jobs {
-		if now.Add(dsk.least(job)).After(job.spec.Give) {
+		if now.Add(sch.least(job)).After(job.spec.Give) {
 			// It waited for a place until there is no time left to use one; its
 			// caller would hear nothing of what it then ran for.
-			dsk.giveUpJob(now, job)
+			sch.abandon(now, job)
 			continue
 		}
-		dsk.settle(now, job)
+		sch.settle(now, job)
 	}
 }
 
-func (dsk *Desk) fillPool(now time.Time, pol *pool) {
+func (sch *Scheduler) fillPool(now time.Time, pol *pool) {
 	if len(pol.waiting) == 0 {
 		return
 	}
@@ -62,17 +62,17 @@
 	}
 	jobs := make([]*job, 0, len(pol.waiting))
 	for job := range pol.waiting {
-		job.rank, job.rankAt = dsk.newRank(now, job), now
+		job.rank, job.rankAt = sch.newRank(now, job), now
 		jobs = append(jobs, job)
 	}
 	for len(free) > 0 {
 		ser := free[0]
 		free = free[1:]
-		if _, may := dsk.mayCall(now, ser.ent.Zone, 1); !may {
+		if _, may := sch.mayCall(now, ser.ent.Zone, 1); !may {
 			continue
 		}
-		if pieces := dsk.choose(now, pol, ser, jobs); len(pieces) > 0 {
-			dsk.send(now, pol, ser, pieces)
+		if pieces := sch.choose(now, pol, ser, jobs); len(pieces) > 0 {
+			sch.send(now, pol, ser, pieces)
 		}
 	}
 }
@@ -86,7 +86,7 @@
 		}
 	}
 	sort.Slice(free, func(i, j int) bool {
-		if one, two := len(free[i].flights), len(free[j].flights); one != two {
+		if one, two := len(free[i].inFlight), len(free[j].inFlight); one != two {
 			return one < two
 		}
 		if one, two := free[i].slowness(now), free[j].slowness(now); one < two*0.8 || two < one*0.8 {
@@ -98,19 +98,19 @@
 }
 
 // choose fills one call from what waits, by rank.
-func (dsk *Desk) choose(now time.Time, pol *pool, ser *server, jobs []*job) []*piece {
+func (sch *Scheduler) choose(now time.Time, pol *pool, ser *server, jobs []*job) []*piece {
 	type entry struct {
 		job *job
 		rnk rank
 	}
 	list := make([]entry, 0, len(jobs))
 	for _, job := range jobs {
-		if len(pol.waiting[job]) == 0 || dsk.goes(job) {
+		if len(pol.waiting[job]) == 0 || sch.transferable(job) {
 			continue
 		}
 		rnk := job.rank
-		if zon, far := pol.far(job, ser); far && !dsk.ply.AnyZone {
-			if dsk.waitsForZone(now, pol, job, zon, jobs) {
+		if zon, far := pol.far(job, ser); far && !sch.ply.AnyZone {
+			if sch.waitsForZone(now, pol, job, zon, jobs) {
 				continue
 			}
 			rnk.due = rnk.due.Add(farDelay)
@@ -126,16 +126,16 @@
 		}
 		return list[i].job.spec.Key.ID < list[j].job.spec.Key.ID
 	})
-	size, _ := dsk.mayCall(now, ser.ent.Zone, pol.svc.Batch.Size)
+	size, _ := sch.mayCall(now, ser.ent.Zone, pol.svc.Batch.Size)
 	if ser.rec.Suspect() {
 		// The first call after a rest carries little: it may be lost.
 		size = max(1, size/4)
 	}
-	pck := &packer{pool: pol, server: ser, now: now, size: size, used: ser.used + ser.unknown(now)}
+	pck := &packer{pool: pol, server: ser, now: now, size: size, used: ser.used + ser.untrackedBytes(now)}
 	// Jobs that fit whole go first: pieces of one job in two calls hold the
 	// room of the first until the second has ended.
 	for _, whole := range []bool{true, false} {
-		if whole && dsk.ply.SplitJobs {
+		if whole && sch.ply.SplitJobs {
 			continue
 		}
 		for _, ent := range list {
@@ -240,16 +240,16 @@
 
 // zoneWait is how long it takes until a server of a zone can take a job, behind
 // what waits for the same zone.
-func (dsk *Desk) zoneWait(now time.Time, pol *pool, zone string, jobs []*job, before rank) time.Duration {
+func (sch *Scheduler) zoneWait(now time.Time, pol *pool, zone string, jobs []*job, before rank) time.Duration {
 	first := time.Duration(-1)
 	num := 0
 	for _, ser := range pol.servers {
-		if ser.ent.Zone != zone || dsk.unproved(zone) || !ser.usable(now) || ser.slow > 1.5 {
+		if ser.ent.Zone != zone || sch.unconfirmed(zone) || !ser.usable(now) || ser.slow > 1.5 {
 			continue
 		}
 		num++
 		left := max(0, ser.freeAt.Sub(now))
-		if len(ser.flights) == 0 {
+		if len(ser.inFlight) == 0 {
 			left = 0
 		}
 		if first < 0 || left < first {
@@ -271,12 +271,12 @@
 }
 
 // waitsForZone reports whether a job is better kept for its zone.
-func (dsk *Desk) waitsForZone(now time.Time, pol *pool, job *job, zone string, jobs []*job) bool {
-	wait := dsk.zoneWait(now, pol, zone, jobs, job.rank)
+func (sch *Scheduler) waitsForZone(now time.Time, pol *pool, job *job, zone string, jobs []*job) bool {
+	wait := sch.zoneWait(now, pol, zone, jobs, job.rank)
 	if wait > farWait {
 		return false
 	}
-	return job.rank.late || now.Add(wait+dsk.least(job)+farSlack).Before(job.spec.Aim)
+	return job.rank.late || now.Add(wait+sch.least(job)+farSlack).Before(job.spec.Aim)
 }
 
 const (
@@ -287,20 +287,20 @@
 	graceTime = 400 * time.Millisecond
 )
 
-func (dsk *Desk) send(now time.Time, pol *pool, ser *server, pieces []*piece) {
-	dsk.number++
+func (sch *Scheduler) send(now time.Time, pol *pool, ser *server, pieces []*piece) {
+	sch.number++
 	pol.calls++
 	pol.sent += len(pieces)
-	fli := &flight{number: dsk.number, pool: pol, server: ser, pieces: pieces, sent: now, turn: now, usual: pol.svc.Batch.Call}
-	cal := Call{Number: fli.number, Server: ser.ent}
+	act := &activeCall{number: sch.number, pool: pol, server: ser, pieces: pieces, sent: now, turn: now, usual: pol.svc.Batch.Call}
+	cal := Call{Number: act.number, Server: ser.ent}
 	for _, pie := range pieces {
 		pol.unwait(pie)
-		pie.turn(stateFlying)
+		pie.turn(stateInFlight)
 		pie.picked = false
 		pie.tries++
 		pie.job.begun = true
 		ser.used += pie.stage.size
-		fli.usual += pol.time(pie.stage.kind)
+		act.usual += pol.time(pie.stage.kind)
 		itm := Item{ID: pie.job.spec.Key.ID, Stage: pie.stage.num, Piece: pie.num, Left: pie.job.spec.Give.Sub(now)}
 		if len(pie.stage.after) == 0 {
 			itm.Key = pie.job.spec.PieceKey
@@ -309,20 +309,20 @@
 		}
 		cal.Items = append(cal.Items, itm)
 	}
-	if len(ser.flights) > 0 && ser.freeAt.After(now) {
-		fli.turn = ser.freeAt
+	if len(ser.inFlight) > 0 && ser.freeAt.After(now) {
+		act.turn = ser.freeAt
 	}
-	expect := time.Duration(float64(fli.usual) * max(1, ser.slowness(now)))
-	ser.freeAt = fli.turn.Add(expect)
-	fli.limit = fli.turn.Add(patience*expect + graceTime)
-	dsk.called(fli)
-	cal.Limit = fli.limit.Sub(now)
-	ser.flights = append(ser.flights, fli)
-	if len(ser.flights) == 1 {
-		fli.held = ser.holds()
+	expect := time.Duration(float64(act.usual) * max(1, ser.slowness(now)))
+	ser.freeAt = act.turn.Add(expect)
+	act.limit = act.turn.Add(patience*expect + graceTime)
+	sch.noteCall(act)
+	cal.Limit = act.limit.Sub(now)
+	ser.inFlight = append(ser.inFlight, act)
+	if len(ser.inFlight) == 1 {
+		act.held = ser.holds()
 	}
 	ser.rec.Sent()
-	dsk.rates.Take(now, ser.ent.ID)
-	dsk.flights[fli.number] = fli
-	dsk.out.Call(cal)
+	sch.rates.Take(now, ser.ent.ID)
+	sch.inFlight[act.number] = act
+	sch.out.Call(cal)
 }
--- a/core/batch/held.go
+++ b/core/sched/held.go
@@ -1,4 +1,4 @@
-package batch
+package sched
 
 import (
 	"slices"
@@ -8,7 +8,7 @@
 // Held are results of one stage of one request that lie at one server, as the
 // request's entry instance was told.
 //
-// Load pattern: the instance that forms the calls is killed in a burst, with
+// Load pattern: the coordinator is killed in a burst, with
 // the room of all servers full of results. Made anew, the requests need that
 // room once more while it is taken, and servers make next to nothing until the
 // results expire, four seconds later. So each entry instance hears what lies
@@ -95,35 +95,35 @@
 	})
 }
 
-// tellHeld tells entry instances what a call made for their requests.
-func (dsk *Desk) tellHeld(fli *flight) {
-	if dsk.ply.Untold {
+// reportResults tells entry instances what a call made for their requests.
+func (sch *Scheduler) reportResults(act *activeCall) {
+	if sch.ply.Untold {
 		return
 	}
 	var rows []Held
 	byStage := map[*stage]int{}
-	for _, pie := range fli.pieces {
-		if pie.job.over || pie.server != fli.server || pie.state != stateMade {
+	for _, pie := range act.pieces {
+		if pie.job.over || pie.server != act.server || pie.state != stateMade {
 			continue
 		}
 		row, have := byStage[pie.stage]
 		if !have {
 			row = len(rows)
 			byStage[pie.stage] = row
-			rows = append(rows, Held{Key: pie.job.spec.Key, Attempt: pie.job.spec.Attempt, Stage: pie.stage.num, Server: fli.server.ent.ID, Expires: pie.expires})
+			rows = append(rows, Held{Key: pie.job.spec.Key, Attempt: pie.job.spec.Attempt, Stage: pie.stage.num, Server: act.server.ent.ID, Expires: pie.expires})
 		}
 		rows[row].Pieces = append(rows[row].Pieces, pie.num)
 		rows[row].Handles = append(rows[row].Handles, pie.handle)
 	}
 	for _, row := range rows {
-		dsk.out.Keep(row)
+		sch.out.Keep(row)
 	}
 }
 
 // restore takes the results over that lie somewhere for a job which another
 // instance had before. What can't be, since its server is gone or it is about
 // to expire, is made again.
-func (dsk *Desk) restore(now time.Time, job *job) {
+func (sch *Scheduler) restore(now time.Time, job *job) {
 	if len(job.spec.Held) == 0 {
 		return
 	}
@@ -149,16 +149,16 @@
 	}
 	job.spec.Held = nil
 	if job.begun {
-		dsk.passOver(job)
+		sch.passOver(job)
 	}
 }
 
 // passOver counts stages as made whose followers are complete. Their results
 // were given up; remake makes them again where a follower's are lost.
-func (dsk *Desk) passOver(job *job) {
+func (sch *Scheduler) passOver(job *job) {
 	for idx := len(job.stages) - 1; idx >= 0; idx-- {
 		stg := job.stages[idx]
-		if stg.last || !dsk.used(job, stg) {
+		if stg.last || !sch.used(job, stg) {
 			continue
 		}
 		for _, pie := range stg.pieces {
--- a/core/batch/held_test.go
+++ b/core/sched/held_test.go
@@ -1,4 +1,4 @@
-package batch
+package sched
 
 import (
 	"testing"
@@ -12,9 +12,9 @@
 	"lovagestream/core/table"
 )
 
-// told adds what a desk told of a request to its spec, as its entry instance
+// told adds what a scheduler told of a request to its spec, as its entry instance
 // does.
-func told(spc Spec, out *outs) Spec {
+func told(spc Spec, out *effects) Spec {
 	for _, hld := range out.held {
 		if hld.Key == spc.Key {
 			spc.Keep(hld)
@@ -23,54 +23,54 @@
 	return spc
 }
 
-// The forming instance dies after the first stage of a request. The next is
-// handed the request with its results, and goes on with the second stage: it
+// The coordinator dies after the first stage of a request. The next is
+// transferBefore the request with its results, and goes on with the second stage: it
 // asks for nothing that was made, and gives the results up when they are used.
 func TestSuccessorGoesOnFromResults(t *testing.T) {
-	dsk, out := newDesk(both...)
-	dsk.Submit(start, spec("r1", 2, 1))
-	answer(dsk, start, out.take()[0])
+	sch, out := newScheduler(both...)
+	sch.Submit(start, spec("r1", 2, 1))
+	answer(sch, start, out.take()[0])
 	spc := told(spec("r1", 2, 1), out)
 	require.Len(t, spc.Held, 1)
-	nxt, got := newDesk(both...)
+	nxt, got := newScheduler(both...)
 	nxt.Submit(start.Add(time.Second), spc)
 	cal := got.take()[0]
 	require.Equal(t, "s1", cal.Server.ID)
 	require.Equal(t, []string{"f1/r1-0-0", "f1/r1-0-1"}, cal.Items[0].Inputs)
 	answer(nxt, start.Add(time.Second), cal)
-	require.Equal(t, Placed, got.verdicts["r1"].Word)
+	require.Equal(t, Placed, got.verdicts["r1"].Outcome)
 	require.ElementsMatch(t, []string{"f1/r1-0-0", "f1/r1-0-1"}, got.freed["f1"])
 	nxt.Began(start.Add(2*time.Second), spc.Key)
 	require.Len(t, got.freed["s1"], 1)
 }
 
-// The forming instance dies when all stages are made and the word on the engine
+// The coordinator dies when all stages are made and the word on the engine
 // was lost. The next finds an engine at once. What the last stage took is not
 // made again.
 func TestSuccessorPlacesWhatIsWhole(t *testing.T) {
-	dsk, out := newDesk(both...)
-	dsk.Submit(start, spec("r1", 2, 1))
-	answer(dsk, start, out.take()[0])
-	answer(dsk, start, out.take()[0])
+	sch, out := newScheduler(both...)
+	sch.Submit(start, spec("r1", 2, 1))
+	answer(sch, start, out.take()[0])
+	answer(sch, start, out.take()[0])
 	spc := told(spec("r1", 2, 1), out)
 	require.Len(t, spc.Held, 1, "the first stage's were given up")
-	nxt, got := newDesk(both...)
+	nxt, got := newScheduler(both...)
 	nxt.Submit(start, spc)
 	require.Empty(t, got.take())
 	require.Equal(t, []string{"s1/r1-1-0"}, got.verdicts["r1"].Inputs)
 }
 
-// A request runs at its engine when the forming instance dies. The next gives
+// A request runs at its engine when the coordinator dies. The next gives
 // its results up at its first event, and with a run that ends without one goes
 // to another engine with them.
 func TestSuccessorAdoptsResultsOfWhatRuns(t *testing.T) {
-	dsk, out := newDesk(both...)
-	dsk.Submit(start, spec("r1", 1, 1))
-	answer(dsk, start, out.take()[0])
-	answer(dsk, start, out.take()[0])
+	sch, out := newScheduler(both...)
+	sch.Submit(start, spec("r1", 1, 1))
+	answer(sch, start, out.take()[0])
+	answer(sch, start, out.take()[0])
 	spc := told(spec("r1", 1, 1), out)
 	for _, again := range []bool{false, true} {
-		nxt, got := newDesk(both...)
+		nxt, got := newScheduler(both...)
 		nxt.Adopt(start, spc, "m1")
 		if again {
 			require.True(t, nxt.Retry(start, spc.Key, place.Full, false))
@@ -85,7 +85,7 @@
 // An adopted run ends without an answer, and its results are not known. They
 // are made again.
 func TestAdoptedRunWithoutResultsBeginsAnew(t *testing.T) {
-	nxt, got := newDesk(both...)
+	nxt, got := newScheduler(both...)
 	nxt.Adopt(start, spec("r1", 1, 1), "m1")
 	require.Empty(t, got.take())
 	require.True(t, nxt.Retry(start, Key{"me", "r1"}, place.Full, false))
@@ -112,13 +112,13 @@
 		"other pool":     change(func(hld *Held) { hld.Server = "s1" }),
 		"expired":        change(func(hld *Held) { hld.Expires = start }),
 	} {
-		nxt, got := newDesk(both...)
+		nxt, got := newScheduler(both...)
 		spc := spec("r1", 2, 1)
 		spc.Held = []Held{wrong}
 		nxt.Submit(start, spc)
 		require.Len(t, got.take()[0].Items, 2, name)
 	}
-	nxt, got := newDesk(both...)
+	nxt, got := newScheduler(both...)
 	spc := spec("r1", 2, 1)
 	spc.Held = []Held{good, change(func(hld *Held) { hld.Pieces = []int{1} }), change(func(hld *Held) { hld.Handles = []string{"other"} })}
 	nxt.Submit(start, spc)
@@ -143,18 +143,18 @@
 // lost meanwhile, or the former instance is alive and gave them up. The pieces
 // are made again, those before them too, whose results were used.
 func TestHandedResultsThatAreGone(t *testing.T) {
-	nxt, got := newDesk(both...)
+	nxt, got := newScheduler(both...)
 	spc := spec("r1", 1, 1)
 	spc.Held = []Held{{Stage: 0, Server: "f1", Pieces: []int{0}, Handles: []string{"h0"}, Expires: start.Add(4 * time.Second)}}
 	nxt.Submit(start, spc)
 	nxt.CallEnded(start, got.take()[0].Number, []Result{{Reason: InputGone}}, Answered)
 	require.Equal(t, "f1", got.take()[0].Server.ID)
 
-	nxt, got = newDesk(append(both, entry("second", "s2", "z"))...)
+	nxt, got = newScheduler(append(both, entry("second", "s2", "z"))...)
 	spc = spec("r1", 1, 2)
 	spc.Held = []Held{{Stage: 1, Server: "s2", Pieces: []int{0, 1}, Handles: []string{"h1", "h2"}, Expires: start.Add(4 * time.Second)}}
 	nxt.Submit(start, spc)
-	require.Equal(t, Placed, got.verdicts["r1"].Word)
+	require.Equal(t, Placed, got.verdicts["r1"].Outcome)
 	require.True(t, nxt.Retry(start, spc.Key, place.Full, true))
 	require.Equal(t, "f1", got.take()[0].Server.ID, "the input of what is made again")
 }
@@ -164,8 +164,8 @@
 func TestTwoSuccessorsAreHarmless(t *testing.T) {
 	spc := spec("r1", 1, 1)
 	spc.Held = []Held{{Stage: 0, Server: "f1", Pieces: []int{0}, Handles: []string{"h0"}, Expires: start.Add(4 * time.Second)}}
-	one, outOne := newDesk(both...)
-	two, outTwo := newDesk(both...)
+	one, outOne := newScheduler(both...)
+	two, outTwo := newScheduler(both...)
 	one.Submit(start, spc)
 	two.Submit(start, spc)
 	one.Cancel(start, spc.Key)
@@ -173,7 +173,7 @@
 	two.CallEnded(start, outTwo.take()[0].Number, []Result{{Reason: InputGone}}, Answered)
 	answer(two, start, outTwo.take()[0])
 	answer(two, start, outTwo.take()[0])
-	require.Equal(t, Placed, outTwo.verdicts["r1"].Word)
+	require.Equal(t, Placed, outTwo.verdicts["r1"].Outcome)
 	require.Len(t, outTwo.verdicts["r1"].Inputs, 1)
 }
 
@@ -182,14 +182,14 @@
 // its inputs gone. What its calls under way bring nobody knows of: that it
 // gives up.
 func TestWokenFormerLeavesResultsAlone(t *testing.T) {
-	dsk, out := newDesk(both...)
-	dsk.Submit(start, spec("r1", 1, 1))
-	answer(dsk, start, out.take()[0])
+	sch, out := newScheduler(both...)
+	sch.Submit(start, spec("r1", 1, 1))
+	answer(sch, start, out.take()[0])
 	require.Len(t, out.held, 1)
-	require.Equal(t, 1, dsk.Clear(start.Add(2*time.Second)))
+	require.Equal(t, 1, sch.Clear(start.Add(2*time.Second)))
 	require.Empty(t, out.freed)
-	require.Zero(t, dsk.pools["first"].servers["f1"].used)
-	answer(dsk, start.Add(2*time.Second), out.take()[0])
+	require.Zero(t, sch.pools["first"].servers["f1"].used)
+	answer(sch, start.Add(2*time.Second), out.take()[0])
 	require.Equal(t, []string{"s1/r1-1-0"}, out.freed["s1"])
 	require.Len(t, out.held, 1, "it tells nobody")
 }
@@ -197,23 +197,23 @@
 // A handed-on request is refused for a repeat without budget. Its results are
 // given up with it.
 func TestRefusedRequestGivesHandedResultsUp(t *testing.T) {
-	out := &outs{freed: map[string][]string{}, verdicts: map[string]Verdict{}}
-	dsk := New(out, NewRepeats(0, 0, 10*time.Second), rates.NewBook())
-	dsk.Configure(start, services(), both)
+	out := &effects{freed: map[string][]string{}, verdicts: map[string]Decision{}}
+	sch := New(out, NewRetryBudget(0, 0, 10*time.Second), rates.NewBook())
+	sch.Configure(start, services(), both)
 	spc := spec("r1", 1, 1)
 	spc.Again = true
 	spc.Held = []Held{{Stage: 0, Server: "f1", Pieces: []int{0}, Handles: []string{"h0"}, Expires: start.Add(4 * time.Second)}}
-	dsk.Submit(start, spc)
-	require.Equal(t, Refused, out.verdicts["r1"].Word)
+	sch.Submit(start, spc)
+	require.Equal(t, Refused, out.verdicts["r1"].Outcome)
 	require.Equal(t, []string{"h0"}, out.freed["f1"])
-	dsk.Tick(start.Add(5 * time.Second))
+	sch.Tick(start.Add(5 * time.Second))
 	require.Empty(t, out.take())
 }
 
 // A server is born anew under the same ID. What lay there before is not taken
 // for its own.
 func TestRebornServerHoldsNothing(t *testing.T) {
-	nxt, got := newDesk(both...)
+	nxt, got := newScheduler(both...)
 	reborn := entry("first", "f1", "z")
 	reborn.Born = 7
 	spc := spec("r1", 1, 1)
@@ -240,45 +240,45 @@
 // its calls into the other half, makes small results beside, and has the whole
 // room again when the unknown results have expired.
 func TestUnknownResultsTakeRoomUntilTheyExpire(t *testing.T) {
-	dsk, out := newDesk(both...)
-	dsk.Succeed(start)
-	dsk.Submit(start, spec("a", 8, 1))
+	sch, out := newScheduler(both...)
+	sch.Succeed(start)
+	sch.Submit(start, spec("a", 8, 1))
 	cal := out.take()[0]
 	require.Len(t, cal.Items, 8)
-	res := []Result{{Handle: "1"}, {Handle: "2"}, {Handle: "3"}, {Handle: "4"}, {Reason: NoRoom}, {Reason: NoRoom}, {Reason: NoRoom}, {Reason: NoRoom}}
+	res := []Result{{Handle: "1"}, {Handle: "2"}, {Handle: "3"}, {Handle: "4"}, {Reason: OutOfMemory}, {Reason: OutOfMemory}, {Reason: OutOfMemory}, {Reason: OutOfMemory}}
 	now := start.Add(300 * time.Millisecond)
-	dsk.CallEnded(now, cal.Number, res, Answered)
+	sch.CallEnded(now, cal.Number, res, Answered)
 	require.Empty(t, out.take(), "four results of the request fill what is left")
-	ser := dsk.pools["first"].servers["f1"]
-	require.InDelta(t, 1, ser.puff, 0, "results are no larger than published")
+	ser := sch.pools["first"].servers["f1"]
+	require.InDelta(t, 1, ser.sizeFactor, 0, "results are no larger than published")
 	small := spec("b", 1, 1)
 	small.Stages[0].Size = 8000
-	dsk.Submit(now, small)
+	sch.Submit(now, small)
 	require.Len(t, out.take(), 1)
-	dsk.Tick(start.Add(4500 * time.Millisecond))
-	require.Zero(t, ser.unknown(start.Add(4500*time.Millisecond)))
+	sch.Tick(start.Add(4500 * time.Millisecond))
+	require.Zero(t, ser.untrackedBytes(start.Add(4500*time.Millisecond)))
 }
 
 // Without a loss, room that lacks says that results are larger than published.
 func TestLackingRoomWithoutALossIsLearnt(t *testing.T) {
-	dsk, out := newDesk(both...)
-	dsk.Submit(start, spec("a", 2, 1))
-	dsk.CallEnded(start, out.take()[0].Number, []Result{{Handle: "1"}, {Reason: NoRoom}}, Answered)
-	ser := dsk.pools["first"].servers["f1"]
-	require.Greater(t, ser.puff, 1.0)
-	require.Zero(t, ser.hidden)
+	sch, out := newScheduler(both...)
+	sch.Submit(start, spec("a", 2, 1))
+	sch.CallEnded(start, out.take()[0].Number, []Result{{Handle: "1"}, {Reason: OutOfMemory}}, Answered)
+	ser := sch.pools["first"].servers["f1"]
+	require.Greater(t, ser.sizeFactor, 1.0)
+	require.Zero(t, ser.untracked)
 }
 
 // Half of a server's room is taken by unknown results. A queue must count as
 // twice as long as with all of it: taken for whole, the pool lets in twice what
 // fits, and everybody is late in turn.
 func TestUnknownResultsCountInEstimates(t *testing.T) {
-	dsk, _ := newDesk(both...)
-	pol := dsk.pools["first"]
-	pol.ahead = backlog{work: time.Second, servers: dsk.busy(start, pol).servers}
+	sch, _ := newScheduler(both...)
+	pol := sch.pools["first"]
+	pol.ahead = backlog{work: time.Second, servers: sch.busy(start, pol).servers}
 	whole := pol.ahead.wait()
-	pol.servers["f1"].hidden, pol.servers["f1"].hiddenUntil = pol.svc.Batch.Room/2, start.Add(time.Second)
-	pol.ahead.servers = dsk.busy(start, pol).servers
+	pol.servers["f1"].untracked, pol.servers["f1"].untrackedUntil = pol.svc.Batch.Room/2, start.Add(time.Second)
+	pol.ahead.servers = sch.busy(start, pol).servers
 	require.Equal(t, 2*whole, pol.ahead.wait())
-	require.InDelta(t, 1, dsk.busy(start.Add(time.Second), pol).servers, 0, "they have expired")
+	require.InDelta(t, 1, sch.busy(start.Add(time.Second), pol).servers, 0, "they have expired")
 }
--- a/core/batch/job.go
+++ b/core/sched/job.go
@@ -1,4 +1,4 @@
-package batch
+package sched
 
 import (
 	"time"
@@ -13,7 +13,7 @@
 	// stateBlocked pieces wait for the stages before theirs.
 	stateBlocked pieceState = iota
 	stateWaiting
-	stateFlying
+	stateInFlight
 	stateMade
 )
 
@@ -36,11 +36,11 @@
 
 // turn changes a piece's state and keeps its stage's count.
 func (pie *piece) turn(state pieceState) {
-	if pie.state == stateFlying {
-		pie.stage.flying--
+	if pie.state == stateInFlight {
+		pie.stage.inFlight--
 	}
-	if state == stateFlying {
-		pie.stage.flying++
+	if state == stateInFlight {
+		pie.stage.inFlight++
 	}
 	pie.state = state
 }
@@ -53,8 +53,8 @@
 	size   int64
 	pieces []*piece
 	// left counts pieces that are not made, flying those that a call has.
-	left   int
-	flying int
+	left     int
+	inFlight int
 	// last stages are followed by no other; the engine gets their results.
 	last bool
 	// kind keys what was learnt about the time of a piece.
@@ -65,7 +65,7 @@
 type job struct {
 	spec   Spec
 	stages []*stage
-	// since is when this desk got it.
+	// since is when this scheduler got it.
 	since time.Time
 	// begun is set when the first piece of it was sent anywhere.
 	begun bool
@@ -89,7 +89,7 @@
 	rank   rank
 	rankAt time.Time
 	bias   time.Duration
-	// at is its place in the desk's list.
+	// at is its place in the scheduler's list.
 	at int
 }
 
@@ -101,15 +101,15 @@
 )
 
 // build resolves a spec against the pools; nil with a reason if it can't run.
-func (dsk *Desk) build(now time.Time, spc Spec) (*job, string) {
-	eng := dsk.engines[spc.Service]
+func (sch *Scheduler) build(now time.Time, spc Spec) (*job, string) {
+	eng := sch.engines[spc.Service]
 	if eng == nil {
 		return nil, "service-unknown"
 	}
 	job := &job{spec: spc, stages: make([]*stage, 0, len(spc.Stages))}
 	stages := make([]stage, len(spc.Stages))
 	for num, ts := range spc.Stages {
-		pol := dsk.pools[ts.Service]
+		pol := sch.pools[ts.Service]
 		if pol == nil {
 			return nil, "stage-service-unknown"
 		}
@@ -185,7 +185,7 @@
 }
 
 // enqueue lets the pieces whose inputs are there wait for a server.
-func (dsk *Desk) enqueue(job *job) {
+func (sch *Scheduler) enqueue(job *job) {
 	for _, stg := range job.stages {
 		if stg.left == 0 || !stg.open() {
 			continue
@@ -201,7 +201,7 @@
 
 // advance gives up results that were used, and lets the job wait for an engine
 // when the last are there.
-func (dsk *Desk) advance(job *job) {
+func (sch *Scheduler) advance(job *job) {
 	if job.over || job.run != nil {
 		return
 	}
@@ -212,19 +212,19 @@
 		}
 	}
 	for _, stg := range job.stages {
-		if stg.left == 0 && !stg.last && dsk.used(job, stg) {
-			dsk.giveUp(stg.pieces)
+		if stg.left == 0 && !stg.last && sch.used(job, stg) {
+			sch.giveUp(stg.pieces)
 		}
 	}
 	if whole {
 		// Places go round in order: taken on arrival, each that becomes free went to
 		// whoever happened to come, before all that waited.
-		dsk.ready[job.spec.Key] = job
+		sch.ready[job.spec.Key] = job
 	}
 }
 
 // used reports whether all stages that take a stage's results are complete.
-func (dsk *Desk) used(job *job, stg *stage) bool {
+func (sch *Scheduler) used(job *job, stg *stage) bool {
 	for _, oth := range job.stages {
 		for _, aft := range oth.after {
 			if aft == stg && oth.left > 0 {
@@ -236,13 +236,13 @@
 }
 
 // release gives up all results of a job.
-func (dsk *Desk) release(job *job) {
+func (sch *Scheduler) release(job *job) {
 	for _, stg := range job.stages {
-		dsk.giveUp(stg.pieces)
+		sch.giveUp(stg.pieces)
 	}
 }
 
-func (dsk *Desk) giveUp(pieces []*piece) {
+func (sch *Scheduler) giveUp(pieces []*piece) {
 	byServer := map[*server][]string{}
 	for _, pie := range pieces {
 		if pie.server == nil {
@@ -253,13 +253,13 @@
 	}
 	for ser, handles := range byServer {
 		if !ser.gone {
-			dsk.out.Free(ser.ent.Address, handles)
+			sch.out.Free(ser.ent.Address, handles)
 		}
 	}
 }
 
 // settle places a job whose results are there, if an engine can take it.
-func (dsk *Desk) settle(now time.Time, job *job) bool {
+func (sch *Scheduler) settle(now time.Time, job *job) bool {
 	inputs := map[string]int64{}
 	var handles []string
 	for _, stg := range job.stages {
@@ -273,50 +273,50 @@
 			}
 		}
 	}
-	eng := dsk.engines[job.spec.Service]
+	eng := sch.engines[job.spec.Service]
 	ent, ok := eng.Choose(now, ask(&job.spec, inputs))
 	if !ok {
 		return false
 	}
 	job.run = eng.Place(now, ent.ID, ask(&job.spec, inputs))
-	delete(dsk.ready, job.spec.Key)
-	dsk.out.Tell(Verdict{Key: job.spec.Key, Word: Placed, Server: ent, Inputs: handles})
+	delete(sch.ready, job.spec.Key)
+	sch.out.Notify(Decision{Key: job.spec.Key, Outcome: Placed, Server: ent, Inputs: handles})
 	return true
 }
 
 // remake puts a piece whose result is lost back, if it is still needed.
-func (dsk *Desk) remake(now time.Time, pie *piece) {
+func (sch *Scheduler) remake(now time.Time, pie *piece) {
 	job := pie.job
 	if pie.server != nil {
 		pie.server.drop(pie)
 	}
-	if job.over || job.run != nil || pie.state != stateMade || dsk.used(job, pie.stage) && !pie.stage.last {
+	if job.over || job.run != nil || pie.state != stateMade || sch.used(job, pie.stage) && !pie.stage.last {
 		return
 	}
 	pie.turn(stateBlocked)
 	pie.stage.left++
 	job.remade++
-	delete(dsk.ready, job.spec.Key)
+	delete(sch.ready, job.spec.Key)
 	for _, aft := range pie.stage.after {
 		for _, inp := range aft.pieces {
 			if inp.state == stateMade && inp.server == nil {
-				dsk.remake(now, inp)
+				sch.remake(now, inp)
 			}
 		}
 	}
 	if job.remade > mostRemade {
-		dsk.end(now, job)
-		dsk.out.Tell(Verdict{Key: job.spec.Key, Word: Refused, Reason: "results-lost", After: soonest})
+		sch.end(now, job)
+		sch.out.Notify(Decision{Key: job.spec.Key, Outcome: Refused, Reason: "results-lost", After: soonest})
 		return
 	}
 	for _, stg := range job.stages {
-		dsk.block(stg)
+		sch.block(stg)
 	}
-	dsk.enqueue(job)
+	sch.enqueue(job)
 }
 
 // block takes the pieces of a stage whose inputs are gone out of the queue.
-func (dsk *Desk) block(stg *stage) {
+func (sch *Scheduler) block(stg *stage) {
 	if stg.open() {
 		return
 	}
--- a/core/batch/limit_test.go
+++ b/core/sched/limit_test.go
@@ -1,4 +1,4 @@
-package batch
+package sched
 
 import (
 	"fmt"
@@ -25,26 +25,26 @@
 		length   = 10 * time.Second
 		step     = 10 * time.Millisecond
 	)
-	out := &outs{freed: map[string][]string{}, verdicts: map[string]Verdict{}}
+	out := &effects{freed: map[string][]string{}, verdicts: map[string]Decision{}}
 	lim := rates.NewBook()
-	dsk := New(out, NewRepeats(0.2, 10, 10*time.Second), lim)
-	dsk.Configure(start, table.New(1, nil, []*table.Service{{Name: "plain"}}, nil, table.Limits{}), []stock.Entry{{ID: "p1", Address: "p1", Service: "plain", Zone: "z", Slots: 8}})
+	sch := New(out, NewRetryBudget(0.2, 10, 10*time.Second), lim)
+	sch.Configure(start, table.New(1, nil, []*table.Service{{Name: "plain"}}, nil, table.Limits{}), []stock.Entry{{ID: "p1", Address: "p1", Service: "plain", Zone: "z", Slots: 8}})
 	lim.Heard(start, rates.Word{Server: "p1", Rate: rate})
 	arrived := map[string]time.Time{}
 	served := 0
 	for now := start; now.Before(start.Add(length)); now = now.Add(step) {
 		id := fmt.Sprint(now.Sub(start))
 		arrived[id] = now
-		dsk.Submit(now, Spec{Key: Key{"me", id}, Service: "plain", Arrived: now, Aim: now.Add(2 * patience), Give: now.Add(patience), End: now.Add(patience)})
-		dsk.Tick(now)
+		sch.Submit(now, Spec{Key: Key{"me", id}, Service: "plain", Arrived: now, Aim: now.Add(2 * patience), Give: now.Add(patience), End: now.Add(patience)})
+		sch.Tick(now)
 		for id, ver := range out.verdicts {
 			delete(out.verdicts, id)
 			waited := now.Sub(arrived[id])
-			if ver.Word == Placed {
+			if ver.Outcome == Placed {
 				require.Less(t, waited, patience)
 				served++
-				dsk.Began(now, Key{"me", id})
-				dsk.Ended(now, Key{"me", id}, place.Done)
+				sch.Began(now, Key{"me", id})
+				sch.Ended(now, Key{"me", id}, place.Done)
 				continue
 			}
 			require.Equal(t, reasonLimited, ver.Reason)
--- a/core/batch/order.go
+++ b/core/sched/order.go
@@ -1,4 +1,4 @@
-package batch
+package sched
 
 import (
 	"time"
@@ -43,17 +43,17 @@
 const rankLife = 20 * time.Millisecond
 
 // rankOf returns a job's place, which may be some milliseconds old.
-func (dsk *Desk) rankOf(now time.Time, job *job) rank {
+func (sch *Scheduler) rankOf(now time.Time, job *job) rank {
 	if job.rankAt.IsZero() || now.Sub(job.rankAt) > rankLife || job.rank.begun != job.begun {
-		job.rank, job.rankAt = dsk.newRank(now, job), now
+		job.rank, job.rankAt = sch.newRank(now, job), now
 	}
 	return job.rank
 }
 
 // newRank computes a job's place.
-func (dsk *Desk) newRank(now time.Time, job *job) rank {
+func (sch *Scheduler) newRank(now time.Time, job *job) rank {
 	rnk := rank{begun: job.begun, returned: job.returned, priority: job.spec.Priority, urgency: job.spec.Urgency, due: job.spec.Aim.Add(job.bias)}
-	if now.Add(dsk.least(job)).After(job.spec.Aim) {
+	if now.Add(sch.least(job)).After(job.spec.Aim) {
 		rnk.late = true
 		rnk.due = job.spec.Give
 	}
@@ -83,9 +83,9 @@
 
 // least is the shortest time in which a job could have its first event: its
 // longest path of calls without waiting, and the reading of its prompt.
-func (dsk *Desk) least(job *job) time.Duration {
+func (sch *Scheduler) least(job *job) time.Duration {
 	last := job.path(func(stg *stage, begin time.Duration) time.Duration { return begin + stg.alone() })
-	eng := dsk.engines[job.spec.Service]
+	eng := sch.engines[job.spec.Service]
 	if eng == nil {
 		return last
 	}
@@ -135,20 +135,20 @@
 
 // sumAhead leaves in each pool's ahead what is to be done there before a job of
 // some rank, equals included.
-func (dsk *Desk) sumAhead(now time.Time, rnk rank) {
-	for _, pol := range dsk.pools {
+func (sch *Scheduler) sumAhead(now time.Time, rnk rank) {
+	for _, pol := range sch.pools {
 		pol.ahead = pol.under
-		if rnk.late && !dsk.ply.FullCapacity {
+		if rnk.late && !sch.ply.FullCapacity {
 			// In the time that a late job waits, others come that go before it.
 			pol.ahead.servers *= pol.spare(now, pol.ahead.servers)
 		}
 	}
-	clear(dsk.queued)
-	for _, oth := range dsk.list {
-		if oth.run != nil || rnk.before(dsk.rankOf(now, oth)) {
+	clear(sch.queued)
+	for _, oth := range sch.list {
+		if oth.run != nil || rnk.before(sch.rankOf(now, oth)) {
 			continue
 		}
-		dsk.queue(oth)
+		sch.queue(oth)
 		for _, stg := range oth.stages {
 			if stg.left > 0 {
 				stg.pool.ahead.work += stg.work()
@@ -158,39 +158,39 @@
 }
 
 // queue counts a job among those that will want a server of its service.
-func (dsk *Desk) queue(job *job) {
-	if dsk.rates.Len() > 0 {
-		dsk.queued[job.spec.Service]++
+func (sch *Scheduler) queue(job *job) {
+	if sch.rates.Len() > 0 {
+		sch.queued[job.spec.Service]++
 	}
 }
 
 // limitWait is how long a job waits for the limits of its service's servers,
 // behind what is queued.
-func (dsk *Desk) limitWait(now time.Time, job *job) time.Duration {
-	eng := dsk.engines[job.spec.Service]
-	if eng == nil || dsk.rates.Len() == 0 {
+func (sch *Scheduler) limitWait(now time.Time, job *job) time.Duration {
+	eng := sch.engines[job.spec.Service]
+	if eng == nil || sch.rates.Len() == 0 {
 		return 0
 	}
-	return eng.LimitWait(now, dsk.queued[job.spec.Service])
+	return eng.LimitWait(now, sch.queued[job.spec.Service])
 }
 
 // work is a stage's share of full calls for what is not under way.
 func (stg *stage) work() time.Duration {
 	bat := stg.pool.svc.Batch
 	each := stg.pool.time(stg.kind) + bat.Call/time.Duration(bat.Size)
-	return time.Duration(stg.left-stg.flying) * each
+	return time.Duration(stg.left-stg.inFlight) * each
 }
 
 // busy is what the pool's servers have under way.
-func (dsk *Desk) busy(now time.Time, pol *pool) backlog {
+func (sch *Scheduler) busy(now time.Time, pol *pool) backlog {
 	bkl := backlog{first: noServers}
 	calls, free := 0.0, false
 	for _, ser := range pol.servers {
-		if ser.gone || ser.ent.Leaving || !ser.rec.Usable(now) || dsk.unproved(ser.ent.Zone) {
+		if ser.gone || ser.ent.Leaving || !ser.rec.Usable(now) || sch.unconfirmed(ser.ent.Zone) {
 			continue
 		}
 		left := max(0, ser.freeAt.Sub(now))
-		if len(ser.flights) == 0 {
+		if len(ser.inFlight) == 0 {
 			left = 0
 		}
 		if lim, limited := pol.rates.Limit(ser.ent.ID); limited {
@@ -200,7 +200,7 @@
 		}
 		bkl.work += left
 		bkl.first = min(bkl.first, max(left, pol.rates.Until(now, ser.ent.ID)))
-		bkl.servers += pol.worked(ser) * ser.roomLeft(now, pol.svc.Batch.Room) / max(1, ser.slowness(now))
+		bkl.servers += pol.worked(ser) * ser.freeMemory(now, pol.svc.Batch.Room) / max(1, ser.slowness(now))
 	}
 	if !free {
 		bkl.calls = calls
@@ -210,11 +210,11 @@
 
 // survey notes what is under way in all pools, for the estimates that follow,
 // and returns the time from a job's results to its first event.
-func (dsk *Desk) survey(now time.Time, job *job) time.Duration {
-	for _, pol := range dsk.pools {
-		pol.under = dsk.busy(now, pol)
+func (sch *Scheduler) survey(now time.Time, job *job) time.Duration {
+	for _, pol := range sch.pools {
+		pol.under = sch.busy(now, pol)
 	}
-	read, ok := dsk.engines[job.spec.Service].Estimate(now, ask(&job.spec, nil))
+	read, ok := sch.engines[job.spec.Service].Estimate(now, ask(&job.spec, nil))
 	if !ok {
 		return noServers
 	}
@@ -223,12 +223,12 @@
 
 // estimate is when a job would have its first event behind what is ahead, from
 // a survey of the same moment.
-func (dsk *Desk) estimate(now time.Time, job *job, rnk rank, read time.Duration) time.Duration {
-	dsk.sumAhead(now, rnk)
+func (sch *Scheduler) estimate(now time.Time, job *job, rnk rank, read time.Duration) time.Duration {
+	sch.sumAhead(now, rnk)
 	last := job.path(func(stg *stage, begin time.Duration) time.Duration {
 		return max(begin, stg.pool.ahead.wait()) + stg.alone() + stg.rounds() + hop
 	})
-	wait := dsk.limitWait(now, job)
+	wait := sch.limitWait(now, job)
 	job.limited = wait > last
 	return max(last, wait) + read + hop
 }
@@ -248,41 +248,41 @@
 	// soonest bounds what a refused caller is told: sooner would find the same
 	// queue. comeBackShare of the time left bounds it above: callers heed up
 	// to a third.
-	soonest       = 250 * time.Millisecond
-	comeBackShare = 0.32
+	soonest         = 250 * time.Millisecond
+	retryAfterShare = 0.32
 )
 
 // admit decides on a job's whole path.
-func (dsk *Desk) admit(now time.Time, job *job) (bool, time.Duration, string) {
+func (sch *Scheduler) admit(now time.Time, job *job) (bool, time.Duration, string) {
 	if job.spec.Again {
-		if !dsk.repeats.Allow(now, job.spec.Service) {
+		if !sch.repeats.Allow(now, job.spec.Service) {
 			return false, soonest, "no-repeats-left"
 		}
 		job.begun = true
 		return true, 0, ""
 	}
-	if dsk.ply.AdmitAll || job.begun {
+	if sch.ply.AdmitAll || job.begun {
 		// What is begun was admitted by who formed the calls before.
 		return true, 0, ""
 	}
-	read := dsk.survey(now, job)
+	read := sch.survey(now, job)
 	rnk := rank{priority: job.spec.Priority, urgency: job.spec.Urgency, due: job.spec.Aim.Add(job.bias)}
 	allowed := time.Duration(float64(job.spec.Give.Sub(now)) * certain)
-	if soon := dsk.estimate(now, job, rnk, read); !now.Add(soon).After(job.spec.Aim) && soon <= allowed {
+	if soon := sch.estimate(now, job, rnk, read); !now.Add(soon).After(job.spec.Aim) && soon <= allowed {
 		for _, stg := range job.stages {
 			stg.pool.flow(now, stg.work())
 		}
 		return true, 0, ""
 	}
-	late := dsk.estimate(now, job, lateRank(job), read)
+	late := sch.estimate(now, job, lateRank(job), read)
 	job.expected, job.allowed = late, allowed
 	if late <= allowed {
 		return true, 0, ""
 	}
 	if job.limited {
-		return false, comeBack(now, job, late), reasonLimited
+		return false, retryAfter(now, job, late), reasonLimited
 	}
-	return false, comeBack(now, job, late), "queue-too-long"
+	return false, retryAfter(now, job, late), "queue-too-long"
 }
 
 // reasonLimited tells requests that the limits of servers keep out.
@@ -293,14 +293,14 @@
 	return rank{late: true, returned: job.returned, priority: job.spec.Priority, urgency: job.spec.Urgency, due: job.spec.Give}
 }
 
-// comeBack is when a caller of a job's kind would be admitted again, from when
+// retryAfter is when a caller of a job's kind would be admitted again, from when
 // it would have its answer if it were admitted late. Callers refused in one
 // moment are spread over as long again, or they would come back in one moment.
-func comeBack(now time.Time, job *job, late time.Duration) time.Duration {
+func retryAfter(now time.Time, job *job, late time.Duration) time.Duration {
 	aim := job.spec.Aim.Sub(job.spec.Arrived)
 	wait := max(soonest, late-aim)
 	wait += time.Duration(float64(wait) * call.Draw(job.spec.Key.ID))
-	return max(soonest, min(wait, time.Duration(float64(job.spec.End.Sub(now))*comeBackShare)))
+	return max(soonest, min(wait, time.Duration(float64(job.spec.End.Sub(now))*retryAfterShare)))
 }
 
 const (
@@ -325,15 +325,15 @@
 // bias puts jobs with much work for what they bring behind others that are due
 // at the same time: in a burst of requests of which some have ten pieces and
 // most have two, serving the small ones first serves more of them in time.
-func (dsk *Desk) bias(job *job) time.Duration {
+func (sch *Scheduler) bias(job *job) time.Duration {
 	spc := &job.spec
 	size := float64(spc.Prompt + tokenWeight*spc.Output)
 	key := sizeKey{service: spc.Service, urgency: spc.Urgency, stages: len(spc.Stages)}
-	mean, have := dsk.sizes[key]
+	mean, have := sch.sizes[key]
 	if !have {
 		mean = size
 	}
-	dsk.sizes[key] = mean + sizeWeight*(size-mean)
+	sch.sizes[key] = mean + sizeWeight*(size-mean)
 	value := leastValue
 	if mean > 0 {
 		value = min(mostValue, leastValue+(1-leastValue)*size/mean)
--- a/core/batch/pool.go
+++ b/core/sched/pool.go
@@ -1,4 +1,4 @@
-package batch
+package sched
 
 import (
 	"math"
@@ -34,9 +34,9 @@
 	ahead backlog
 	// calls and sent count calls and their pieces since the last look, noRoom
 	// the pieces among them that found none.
-	calls  int
-	sent   int
-	noRoom int
+	calls       int
+	sent        int
+	outOfMemory int
 	// inflow is the work a second of admitted jobs that could be in time when
 	// they came, smoothed; flowAt is when it was last moved.
 	inflow float64
@@ -49,20 +49,20 @@
 	rec health.Record
 	// gone servers hold nothing any more.
 	gone bool
-	// flights are calls under way, oldest first.
-	flights []*flight
+	// inFlight are calls under way, oldest first.
+	inFlight []*activeCall
 	// freeAt is when the last of them should have ended.
 	freeAt time.Time
 	// used is the room that results and calls under way take, in bytes.
 	used int64
-	// hidden is room that results took at hiddenAt which nobody knows of; the last
+	// untracked is room that results took at hiddenAt which nobody knows of; the last
 	// of them expires at hiddenUntil, and others before if it fades.
-	hidden      int64
-	fades       bool
-	hiddenAt    time.Time
-	hiddenUntil time.Time
-	// puff is how much larger results are than published; at least 1.
-	puff float64
+	untracked      int64
+	fades          bool
+	untrackedAt    time.Time
+	untrackedUntil time.Time
+	// sizeFactor is how much larger results are than published; at least 1.
+	sizeFactor float64
 	// made are the results that lie here.
 	made map[*piece]bool
 	// slow is how much longer than usual calls take; 1 is usual.
@@ -71,12 +71,12 @@
 	slowAt time.Time
 	// fullUntil is set when the server said that it is full, crowdedUntil when
 	// it had no room for a single result.
-	fullUntil    time.Time
-	crowdedUntil time.Time
+	fullUntil        time.Time
+	outOfMemoryUntil time.Time
 }
 
-// flight is one call under way.
-type flight struct {
+// activeCall is one call under way.
+type activeCall struct {
 	number uint64
 	pool   *pool
 	server *server
@@ -110,7 +110,7 @@
 			ser = nil
 		}
 		if ser == nil {
-			ser = &server{made: map[*piece]bool{}, slow: 1, puff: 1}
+			ser = &server{made: map[*piece]bool{}, slow: 1, sizeFactor: 1}
 			pol.servers[ent.ID] = ser
 		}
 		ser.ent = ent
@@ -122,7 +122,7 @@
 		// Servers go on for a while after their entry went; what they have
 		// under way and what lies there stays of use until it fails.
 		ser.ent.Leaving = true
-		if len(ser.flights) == 0 && len(ser.made) == 0 {
+		if len(ser.inFlight) == 0 && len(ser.made) == 0 {
 			ser.gone = true
 			delete(pol.servers, id)
 		}
@@ -182,17 +182,17 @@
 // together, and each of them would add to what the one before taught. Pieces
 // then counted as thirty times as long, every job was refused at the door, and
 // no call was made any more that would have taught otherwise.
-func (pol *pool) learn(now time.Time, fli *flight) {
-	took := now.Sub(fli.turn)
-	ratio := float64(took) / float64(fli.usual)
-	ser := fli.server
+func (pol *pool) learn(now time.Time, act *activeCall) {
+	took := now.Sub(act.turn)
+	ratio := float64(took) / float64(act.usual)
+	ser := act.server
 	ser.slow += 0.5 * (ratio - ser.slow)
 	ser.slow = max(0.5, ser.slow)
 	ser.slowAt = now
-	pol.fill += learning * (float64(len(fli.pieces)) - pol.fill)
-	fill := float64(len(fli.pieces)) / float64(pol.svc.Batch.Size)
+	pol.fill += learning * (float64(len(act.pieces)) - pol.fill)
+	fill := float64(len(act.pieces)) / float64(pol.svc.Batch.Size)
 	work := time.Duration(0)
-	for _, pie := range fli.pieces {
+	for _, pie := range act.pieces {
 		work += pol.time(pie.stage.kind)
 	}
 	if ratio > slowCall || fill < tellingFill || work <= 0 {
@@ -201,7 +201,7 @@
 	seen := took - pol.svc.Batch.Call - hop
 	scale := 1 + learning*fill*(max(leastSeen, min(mostSeen, float64(seen)/float64(work)))-1)
 	done := map[kind]bool{}
-	for _, pie := range fli.pieces {
+	for _, pie := range act.pieces {
 		knd := pie.stage.kind
 		if !done[knd] {
 			done[knd] = true
@@ -216,7 +216,7 @@
 
 // slowness is how much longer than usual a call is expected to take.
 func (ser *server) slowness(now time.Time) float64 {
-	if ser.slow <= 1.3 || len(ser.flights) > 0 {
+	if ser.slow <= 1.3 || len(ser.inFlight) > 0 {
 		return ser.slow
 	}
 	halves := float64(now.Sub(ser.slowAt)) / float64(forgetSlow)
@@ -227,8 +227,8 @@
 // counted but the calls under way.
 func (ser *server) holds() int64 {
 	sum := ser.used
-	for _, fli := range ser.flights {
-		for _, pie := range fli.pieces {
+	for _, act := range ser.inFlight {
+		for _, pie := range act.pieces {
 			sum -= pie.stage.size
 		}
 	}
@@ -240,14 +240,14 @@
 	if ser.made[pie] {
 		delete(ser.made, pie)
 		ser.used -= pie.stage.size
-		ser.crowdedUntil = time.Time{}
+		ser.outOfMemoryUntil = time.Time{}
 	}
 	pie.server = nil
 }
 
 // usable reports whether a server may get calls.
 func (ser *server) usable(now time.Time) bool {
-	return !ser.gone && !ser.ent.Leaving && ser.rec.Usable(now) && !now.Before(ser.fullUntil) && !now.Before(ser.crowdedUntil)
+	return !ser.gone && !ser.ent.Leaving && ser.rec.Usable(now) && !now.Before(ser.fullUntil) && !now.Before(ser.outOfMemoryUntil)
 }
 
 // worked is the share of a server's time that its limit leaves it with full
@@ -272,7 +272,7 @@
 	if !ser.usable(now) || !pol.rates.May(now, ser.ent.ID) {
 		return false
 	}
-	num := len(ser.flights)
+	num := len(ser.inFlight)
 	switch {
 	case num < pol.svc.Batch.Calls:
 		return true
@@ -294,23 +294,23 @@
 }
 
 // lost remakes what lay at a server that is gone, and what was asked of it.
-func (dsk *Desk) lost(now time.Time, ser *server) {
-	for _, fli := range ser.flights {
-		dsk.out.Cut(fli.number)
-		delete(dsk.flights, fli.number)
-		dsk.back(fli)
+func (sch *Scheduler) lost(now time.Time, ser *server) {
+	for _, act := range ser.inFlight {
+		sch.out.Cut(act.number)
+		delete(sch.inFlight, act.number)
+		sch.requeue(act)
 	}
-	ser.flights = nil
+	ser.inFlight = nil
 	for pie := range ser.made {
-		dsk.remake(now, pie)
+		sch.remake(now, pie)
 	}
 }
 
-// back lets the pieces of a call wait again.
-func (dsk *Desk) back(fli *flight) {
-	for _, pie := range fli.pieces {
-		fli.server.used -= pie.stage.size
-		if pie.job.over || pie.state != stateFlying {
+// requeue lets the pieces of a call wait again.
+func (sch *Scheduler) requeue(act *activeCall) {
+	for _, pie := range act.pieces {
+		act.server.used -= pie.stage.size
+		if pie.job.over || pie.state != stateInFlight {
 			continue
 		}
 		pie.turn(stateWaiting)
@@ -318,7 +318,7 @@
 			pie.turn(stateBlocked)
 			continue
 		}
-		fli.pool.wait(pie)
+		act.pool.wait(pie)
 	}
 }
 
--- a/core/batch/pool_test.go
+++ b/core/sched/pool_test.go
@@ -1,4 +1,4 @@
-package batch
+package sched
 
 import (
 	"testing"
@@ -19,15 +19,15 @@
 	const each, over = 2500 * time.Microsecond, 20 * time.Millisecond
 	svc := &table.Service{Batch: &table.Batch{Calls: 1, Queue: 2, Size: 50, Call: 150 * time.Millisecond, Piece: 2600 * time.Microsecond}}
 	pol := newPool(svc, rates.NewBook())
-	ser := &server{slow: 1, puff: 1}
+	ser := &server{slow: 1, sizeFactor: 1}
 	knd := kind{size: 6000, prior: 1}
 	call := func(num int) {
-		fli := &flight{pool: pol, server: ser, turn: start, usual: svc.Batch.Call}
+		act := &activeCall{pool: pol, server: ser, turn: start, usual: svc.Batch.Call}
 		for range num {
-			fli.pieces = append(fli.pieces, &piece{stage: &stage{pool: pol, kind: knd}})
-			fli.usual += pol.time(knd)
+			act.pieces = append(act.pieces, &piece{stage: &stage{pool: pol, kind: knd}})
+			act.usual += pol.time(knd)
 		}
-		pol.learn(start.Add(svc.Batch.Call+time.Duration(num)*each+over), fli)
+		pol.learn(start.Add(svc.Batch.Call+time.Duration(num)*each+over), act)
 	}
 	for range 200 {
 		call(4)
@@ -48,12 +48,12 @@
 	knd := kind{size: 6000, prior: 1}
 	pol.times[knd] = 10 * time.Millisecond
 	for range 30 {
-		fli := &flight{pool: pol, server: &server{slow: 1, puff: 1}, turn: start, usual: svc.Batch.Call}
+		act := &activeCall{pool: pol, server: &server{slow: 1, sizeFactor: 1}, turn: start, usual: svc.Batch.Call}
 		for range 50 {
-			fli.pieces = append(fli.pieces, &piece{stage: &stage{pool: pol, kind: knd}})
-			fli.usual += pol.time(knd)
+			act.pieces = append(act.pieces, &piece{stage: &stage{pool: pol, kind: knd}})
+			act.usual += pol.time(knd)
 		}
-		pol.learn(start.Add(275*time.Millisecond), fli)
+		pol.learn(start.Add(275*time.Millisecond), act)
 	}
 	require.Less(t, pol.time(knd), 4*time.Millisecond)
 }
@@ -69,18 +69,18 @@
 	svc := &table.Service{Batch: &table.Batch{Calls: 1, Queue: 2, Size: 50, Call: 150 * time.Millisecond, Piece: each}}
 	pol := newPool(svc, rates.NewBook())
 	knd := kind{size: 6000, prior: 1}
-	var flights []*flight
+	var inFlight []*activeCall
 	for range servers {
-		fli := &flight{pool: pol, server: &server{slow: 1, puff: 1}, turn: start, usual: svc.Batch.Call}
+		act := &activeCall{pool: pol, server: &server{slow: 1, sizeFactor: 1}, turn: start, usual: svc.Batch.Call}
 		for range 50 {
-			fli.pieces = append(fli.pieces, &piece{stage: &stage{pool: pol, kind: knd}})
-			fli.usual += pol.time(knd)
+			act.pieces = append(act.pieces, &piece{stage: &stage{pool: pol, kind: knd}})
+			act.usual += pol.time(knd)
 		}
-		flights = append(flights, fli)
+		inFlight = append(inFlight, act)
 	}
-	took := flights[0].usual * 3 / 2
-	for _, fli := range flights {
-		pol.learn(start.Add(took), fli)
+	took := inFlight[0].usual * 3 / 2
+	for _, act := range inFlight {
+		pol.learn(start.Add(took), act)
 	}
 	require.LessOrEqual(t, pol.time(knd), (took-svc.Batch.Call)/50, "no piece took longer")
 }
--- a/core/batch/refusal.go
+++ b/core/sched/refusal.go
@@ -1,4 +1,4 @@
-package batch
+package sched
 
 import "time"
 
@@ -19,39 +19,39 @@
 }
 
 // refuse tells a job's caller when to come back, and remembers it.
-func (dsk *Desk) refuse(now time.Time, job *job, ver Verdict) {
-	ver.Key, ver.Word = job.spec.Key, Refused
-	dsk.out.Tell(ver)
-	if job.spec.Print == 0 || dsk.ply.ForgetRefused {
+func (sch *Scheduler) refuse(now time.Time, job *job, ver Decision) {
+	ver.Key, ver.Outcome = job.spec.Key, Refused
+	sch.out.Notify(ver)
+	if job.spec.Print == 0 || sch.ply.ForgetRefused {
 		return
 	}
-	if len(dsk.refused) >= maxRefusals {
-		dsk.forgetRefusals(now)
+	if len(sch.refused) >= maxRefusals {
+		sch.forgetRefusals(now)
 	}
-	if len(dsk.refused) < maxRefusals {
-		dsk.refused[job.spec.Print] = refusal{at: now, aim: job.spec.Aim}
+	if len(sch.refused) < maxRefusals {
+		sch.refused[job.spec.Print] = refusal{at: now, aim: job.spec.Aim}
 	}
 }
 
-func (dsk *Desk) forgetRefusals(now time.Time) {
-	for pri, ref := range dsk.refused {
+func (sch *Scheduler) forgetRefusals(now time.Time) {
+	for pri, ref := range sch.refused {
 		if now.Sub(ref.at) > refusalLife {
-			delete(dsk.refused, pri)
+			delete(sch.refused, pri)
 		}
 	}
 }
 
-// recall knows a caller again that was refused and came back. Its answer is in
+// matchReturning knows a caller again that was refused and came back. Its answer is in
 // time by when it first came, which is over as a rule.
 //
 // Load pattern: a burst is refused and comes back within seconds. Taken for
 // new, it displaces what can still be in time, and everybody is late in turn.
-func (dsk *Desk) recall(now time.Time, job *job) {
-	ref, have := dsk.refused[job.spec.Print]
+func (sch *Scheduler) matchReturning(now time.Time, job *job) {
+	ref, have := sch.refused[job.spec.Print]
 	if !have || job.spec.Print == 0 {
 		return
 	}
-	delete(dsk.refused, job.spec.Print)
+	delete(sch.refused, job.spec.Print)
 	if now.Sub(ref.at) <= refusalLife {
 		job.spec.Aim = ref.aim
 		job.returned = true
--- a/core/batch/desk.go
+++ b/core/sched/scheduler.go
@@ -1,4 +1,4 @@
-// Package batch runs the stages of requests for all entry instances that ask
+// Package sched runs the stages of requests for all entry instances that ask
 // it: it admits a request's whole path or refuses it at once, forms full calls
 // to the servers that make stage results, counts the room of these servers, and
 // chooses the model engine when the results are there.
@@ -13,7 +13,7 @@
 //
 // The package reads no clock and does no input or output; a Desk belongs to one
 // goroutine.
-package batch
+package sched
 
 import (
 	"time"
@@ -31,8 +31,8 @@
 	SplitJobs bool
 	// ByDue orders equals by when they are due alone.
 	ByDue bool
-	// HoldHopeless keeps jobs until their callers leave.
-	HoldHopeless bool
+	// KeepInfeasible keeps jobs until their callers leave.
+	KeepInfeasible bool
 	// AnyZone makes pieces at whatever server is free.
 	AnyZone bool
 	// FullCapacity lets late jobs count on all of a pool.
@@ -48,25 +48,25 @@
 	Untold bool
 	// Unfading takes what others left before a start to expire all at once.
 	Unfading bool
-	// Unhidden takes room that lacks after a loss for larger results.
-	Unhidden bool
+	// IgnoreUntracked takes room that lacks after a loss for larger results.
+	IgnoreUntracked bool
 }
 
-// Desk is the state of all jobs under way.
-type Desk struct {
-	out  Out
+// Scheduler is the state of all jobs under way.
+type Scheduler struct {
+	out  Effects
 	ply  Policy
 	jobs map[Key]*job
 	// list holds the same jobs, for estimates that look at each: going through
 	// the map takes twice the time.
-	list    []*job
-	pools   map[string]*pool
-	engines map[string]*place.Pool
-	flights map[uint64]*flight
+	list     []*job
+	pools    map[string]*pool
+	engines  map[string]*place.Pool
+	inFlight map[uint64]*activeCall
 	// ready are jobs whose results are there and that found no engine yet.
 	ready map[Key]*job
 	// repeats bounds requests that are sent once more.
-	repeats *Repeats
+	repeats *RetryBudget
 	// rates are the limits that servers name, and queued, where there are any,
 	// how many jobs go before one by service.
 	rates  *rates.Book
@@ -76,41 +76,41 @@
 	sizes map[sizeKey]float64
 	// refused are fingerprints of callers that were refused.
 	refused map[uint64]refusal
-	// doubts are zones that went silent.
-	doubts map[string]*doubt
-	// anew is set where that was at the start of this process.
-	anew bool
-	// handed is up to when jobs came that another instance gets; zero for none.
-	handed time.Time
+	// suspicions are zones that went silent.
+	suspicions map[string]*suspicion
+	// coldStart is set where that was at the start of this process.
+	coldStart bool
+	// transferBefore is up to when jobs came that another instance gets; zero for none.
+	transferBefore time.Time
 	// succeeded is when this instance began to form calls after another.
 	succeeded time.Time
-	// prunedAt is when hopeless jobs were last looked for.
-	prunedAt time.Time
+	// shedAt is when infeasible jobs were last looked for.
+	shedAt time.Time
 }
 
-// New returns an empty desk that keeps to the limits of a book.
-func New(out Out, repeats *Repeats, lim *rates.Book) *Desk {
-	return &Desk{
+// New returns an empty scheduler that keeps to the limits of a book.
+func New(out Effects, repeats *RetryBudget, lim *rates.Book) *Scheduler {
+	return &Scheduler{
 		rates: lim, queued: map[string]int{},
 		out: out, jobs: map[Key]*job{}, pools: map[string]*pool{}, engines: map[string]*place.Pool{},
-		flights: map[uint64]*flight{}, ready: map[Key]*job{}, repeats: repeats, sizes: map[sizeKey]float64{}, refused: map[uint64]refusal{}, doubts: map[string]*doubt{},
+		inFlight: map[uint64]*activeCall{}, ready: map[Key]*job{}, repeats: repeats, sizes: map[sizeKey]float64{}, refused: map[uint64]refusal{}, suspicions: map[string]*suspicion{},
 	}
 }
 
-// WithPolicy makes the desk a baseline. It must not serve yet.
-func (dsk *Desk) WithPolicy(ply Policy) *Desk {
-	dsk.ply = ply
-	return dsk
+// WithPolicy makes the scheduler a baseline. It must not serve yet.
+func (sch *Scheduler) WithPolicy(ply Policy) *Scheduler {
+	sch.ply = ply
+	return sch
 }
 
 // Jobs counts what is under way.
-func (dsk *Desk) Jobs() int { return len(dsk.jobs) }
+func (sch *Scheduler) Jobs() int { return len(sch.jobs) }
 
 // Unplaced counts jobs whose results are there and that wait for a server.
-func (dsk *Desk) Unplaced() int { return len(dsk.ready) }
+func (sch *Scheduler) Unplaced() int { return len(sch.ready) }
 
 // Configure takes services and their live servers in.
-func (dsk *Desk) Configure(now time.Time, tab *table.Table, live []stock.Entry) {
+func (sch *Scheduler) Configure(now time.Time, tab *table.Table, live []stock.Entry) {
 	byService := map[string][]stock.Entry{}
 	for _, ent := range live {
 		byService[ent.Service] = append(byService[ent.Service], ent)
@@ -118,69 +118,69 @@
 	tab.Services(func(svc *table.Service) {
 		switch {
 		case svc.Batch != nil:
-			dsk.pool(svc).configure(svc, byService[svc.Name], func(ser *server) { dsk.lost(now, ser) })
+			sch.pool(svc).configure(svc, byService[svc.Name], func(ser *server) { sch.lost(now, ser) })
 		default:
-			eng := dsk.engines[svc.Name]
+			eng := sch.engines[svc.Name]
 			if eng == nil {
-				eng = dsk.engine(svc)
-				dsk.engines[svc.Name] = eng
+				eng = sch.engine(svc)
+				sch.engines[svc.Name] = eng
 			}
 			eng.Servers(byService[svc.Name])
 		}
 	})
-	dsk.Tick(now)
+	sch.Tick(now)
 }
 
 // engine makes what places a service's requests. Plain servers are placed here
 // only while one of them names a limit.
-func (dsk *Desk) engine(svc *table.Service) *place.Pool {
+func (sch *Scheduler) engine(svc *table.Service) *place.Pool {
 	if svc.Model == nil {
-		return place.Plain(dsk.rates)
+		return place.Plain(sch.rates)
 	}
-	return place.New(svc.Model.Slots, svc.Model.Memory, dsk.rates)
+	return place.New(svc.Model.Slots, svc.Model.Memory, sch.rates)
 }
 
-func (dsk *Desk) pool(svc *table.Service) *pool {
-	pol := dsk.pools[svc.Name]
+func (sch *Scheduler) pool(svc *table.Service) *pool {
+	pol := sch.pools[svc.Name]
 	if pol == nil {
-		pol = newPool(svc, dsk.rates)
-		dsk.pools[svc.Name] = pol
+		pol = newPool(svc, sch.rates)
+		sch.pools[svc.Name] = pol
 	}
 	return pol
 }
 
 // Submit admits a job or refuses it. One that is known already changes nothing
 // but if it is a repeat: that begins anew.
-func (dsk *Desk) Submit(now time.Time, spc Spec) {
-	if old := dsk.jobs[spc.Key]; old != nil {
+func (sch *Scheduler) Submit(now time.Time, spc Spec) {
+	if old := sch.jobs[spc.Key]; old != nil {
 		if !spc.Again {
 			return
 		}
-		dsk.end(now, old)
+		sch.end(now, old)
 	}
-	dsk.repeats.Count(now, spc.Service, spc.Again)
-	job, reason := dsk.build(now, spc)
+	sch.repeats.Count(now, spc.Service, spc.Again)
+	job, reason := sch.build(now, spc)
 	if job == nil {
-		dsk.out.Tell(Verdict{Key: spc.Key, Word: Refused, Reason: reason, After: unknownWait})
+		sch.out.Notify(Decision{Key: spc.Key, Outcome: Refused, Reason: reason, After: unknownWait})
 		return
 	}
 	job.since = now
-	dsk.recall(now, job)
-	dsk.restore(now, job)
-	if !dsk.ply.ByDue {
-		job.bias = dsk.bias(job)
+	sch.matchReturning(now, job)
+	sch.restore(now, job)
+	if !sch.ply.ByDue {
+		job.bias = sch.bias(job)
 	}
-	ok, wait, why := dsk.admit(now, job)
+	ok, wait, why := sch.admit(now, job)
 	if !ok {
-		dsk.release(job)
+		sch.release(job)
 		job.over = true
-		dsk.refuse(now, job, Verdict{Reason: why, After: wait, Expected: job.expected, Allowed: job.allowed})
+		sch.refuse(now, job, Decision{Reason: why, After: wait, Expected: job.expected, Allowed: job.allowed})
 		return
 	}
-	dsk.add(job)
-	dsk.enqueue(job)
-	dsk.advance(job)
-	dsk.dispatch(now)
+	sch.add(job)
+	sch.enqueue(job)
+	sch.advance(job)
+	sch.dispatch(now)
 }
 
 // unknownWait is told to callers of a service of which nothing is known: the
@@ -188,23 +188,23 @@
 const unknownWait = time.Second
 
 // Cancel withdraws a job that its caller left, or that ended elsewhere.
-func (dsk *Desk) Cancel(now time.Time, key Key) {
-	if job := dsk.jobs[key]; job != nil {
-		dsk.end(now, job)
-		dsk.dispatch(now)
+func (sch *Scheduler) Cancel(now time.Time, key Key) {
+	if job := sch.jobs[key]; job != nil {
+		sch.end(now, job)
+		sch.dispatch(now)
 	}
 }
 
 // Owner withdraws every job of an entry instance that is gone.
-func (dsk *Desk) Owner(now time.Time, owner string) int {
+func (sch *Scheduler) Owner(now time.Time, owner string) int {
 	num := 0
-	for key, job := range dsk.jobs {
+	for key, job := range sch.jobs {
 		if key.Owner == owner {
-			dsk.end(now, job)
+			sch.end(now, job)
 			num++
 		}
 	}
-	dsk.dispatch(now)
+	sch.dispatch(now)
 	return num
 }
 
@@ -212,86 +212,86 @@
 // its jobs over. It gives no result up: entry instances have handed their
 // requests on with what was made for them, and the instance that has them now
 // would find its inputs gone.
-func (dsk *Desk) Clear(now time.Time) int {
-	num := len(dsk.jobs)
-	for _, job := range dsk.jobs {
-		dsk.drop(now, job)
+func (sch *Scheduler) Clear(now time.Time) int {
+	num := len(sch.jobs)
+	for _, job := range sch.jobs {
+		sch.drop(now, job)
 	}
 	return num
 }
 
 // Began notes the first event of a job's answer: its engine has fetched the
 // inputs, so nothing holds their room any longer.
-func (dsk *Desk) Began(now time.Time, key Key) {
-	job := dsk.jobs[key]
+func (sch *Scheduler) Began(now time.Time, key Key) {
+	job := sch.jobs[key]
 	if job == nil || job.run == nil {
 		return
 	}
-	dsk.engines[job.spec.Service].Began(now, job.run)
-	dsk.release(job)
-	dsk.dispatch(now)
+	sch.engines[job.spec.Service].Began(now, job.run)
+	sch.release(job)
+	sch.dispatch(now)
 }
 
 // Ended notes how a job's run ended. A job that goes on elsewhere is submitted
 // again by its entry instance.
-func (dsk *Desk) Ended(now time.Time, key Key, out place.Outcome) {
-	job := dsk.jobs[key]
+func (sch *Scheduler) Ended(now time.Time, key Key, out place.Outcome) {
+	job := sch.jobs[key]
 	if job == nil {
 		return
 	}
 	if job.run != nil {
-		dsk.engines[job.spec.Service].Ended(now, job.run, out)
+		sch.engines[job.spec.Service].Ended(now, job.run, out)
 		job.run = nil
 	}
-	dsk.end(now, job)
-	dsk.dispatch(now)
+	sch.end(now, job)
+	sch.dispatch(now)
 }
 
 // Retry notes that a run ended without an answer, and looks for another engine.
 // Results that are still there serve it again; an engine that refuses costs no
 // stage work. It reports false for a job that is not known.
-func (dsk *Desk) Retry(now time.Time, key Key, out place.Outcome, inputsGone bool) bool {
-	job := dsk.jobs[key]
+func (sch *Scheduler) Retry(now time.Time, key Key, out place.Outcome, inputsGone bool) bool {
+	job := sch.jobs[key]
 	if job == nil || job.run == nil || len(job.stages) != len(job.spec.Stages) {
 		return false
 	}
-	dsk.engines[job.spec.Service].Ended(now, job.run, out)
+	sch.engines[job.spec.Service].Ended(now, job.run, out)
 	job.spec.Avoid = append(job.spec.Avoid, job.run.Engine())
 	job.run = nil
-	dsk.repeats.Count(now, job.spec.Service, true)
-	if !dsk.repeats.Allow(now, job.spec.Service) {
-		dsk.end(now, job)
-		dsk.out.Tell(Verdict{Key: key, Word: Refused, Reason: "no-repeats-left", After: soonest})
+	sch.repeats.Count(now, job.spec.Service, true)
+	if !sch.repeats.Allow(now, job.spec.Service) {
+		sch.end(now, job)
+		sch.out.Notify(Decision{Key: key, Outcome: Refused, Reason: "no-repeats-left", After: soonest})
 		return true
 	}
 	for _, stg := range job.stages {
 		for _, pie := range stg.pieces {
 			if stg.last && pie.state == stateMade && (pie.server == nil || inputsGone) {
-				dsk.remake(now, pie)
+				sch.remake(now, pie)
 			}
 		}
 	}
-	dsk.enqueue(job)
-	dsk.advance(job)
-	dsk.dispatch(now)
+	sch.enqueue(job)
+	sch.advance(job)
+	sch.dispatch(now)
 	return true
 }
 
 // Adopt notes a run that another instance placed before this one took over.
-func (dsk *Desk) Adopt(now time.Time, spc Spec, engine string) {
-	eng := dsk.engines[spc.Service]
-	if eng == nil || dsk.jobs[spc.Key] != nil {
+func (sch *Scheduler) Adopt(now time.Time, spc Spec, engine string) {
+	eng := sch.engines[spc.Service]
+	if eng == nil || sch.jobs[spc.Key] != nil {
 		return
 	}
-	job, _ := dsk.build(now, spc)
+	job, _ := sch.build(now, spc)
 	if job == nil {
 		job = bare(spc)
 	}
-	dsk.restore(now, job)
+	sch.restore(now, job)
 	job.since = now
 	job.begun = true
 	job.run = eng.Place(now, engine, ask(&spc, nil))
-	dsk.add(job)
+	sch.add(job)
 }
 
 // bare is a job whose stages can't be told any more.
@@ -300,60 +300,60 @@
 	return &job{spec: spc}
 }
 
-func (dsk *Desk) add(job *job) {
-	job.at = len(dsk.list)
-	dsk.list = append(dsk.list, job)
-	dsk.jobs[job.spec.Key] = job
+func (sch *Scheduler) add(job *job) {
+	job.at = len(sch.list)
+	sch.list = append(sch.list, job)
+	sch.jobs[job.spec.Key] = job
 }
 
 // remove takes a job off the list; the last one takes its place.
-func (dsk *Desk) remove(job *job) {
-	if dsk.jobs[job.spec.Key] != job {
+func (sch *Scheduler) remove(job *job) {
+	if sch.jobs[job.spec.Key] != job {
 		return
 	}
-	end := len(dsk.list) - 1
-	dsk.list[job.at] = dsk.list[end]
-	dsk.list[job.at].at = job.at
-	dsk.list[end] = nil
-	dsk.list = dsk.list[:end]
-	delete(dsk.jobs, job.spec.Key)
+	end := len(sch.list) - 1
+	sch.list[job.at] = sch.list[end]
+	sch.list[job.at].at = job.at
+	sch.list[end] = nil
+	sch.list = sch.list[:end]
+	delete(sch.jobs, job.spec.Key)
 }
 
 // end takes a job out and gives its results up.
-func (dsk *Desk) end(now time.Time, job *job) {
+func (sch *Scheduler) end(now time.Time, job *job) {
 	if job.run != nil {
-		dsk.engines[job.spec.Service].Ended(now, job.run, place.Done)
+		sch.engines[job.spec.Service].Ended(now, job.run, place.Done)
 		job.run = nil
 	}
-	dsk.release(job)
+	sch.release(job)
 	for _, stg := range job.stages {
 		delete(stg.pool.waiting, job)
 	}
 	job.over = true
-	delete(dsk.ready, job.spec.Key)
-	dsk.remove(job)
+	delete(sch.ready, job.spec.Key)
+	sch.remove(job)
 }
 
 // Tick carries out what time brings: calls that took too long, results that
 // expired, jobs that can't be in time, servers whose turn comes.
-func (dsk *Desk) Tick(now time.Time) {
-	for _, fli := range dsk.flights {
-		if now.After(fli.limit) {
-			dsk.out.Cut(fli.number)
-			dsk.CallEnded(now, fli.number, nil, Unanswered)
+func (sch *Scheduler) Tick(now time.Time) {
+	for _, act := range sch.inFlight {
+		if now.After(act.limit) {
+			sch.out.Cut(act.number)
+			sch.CallEnded(now, act.number, nil, NoReply)
 		}
 	}
-	for _, pol := range dsk.pools {
-		pol.expire(now, func(pie *piece) { dsk.remake(now, pie) })
+	for _, pol := range sch.pools {
+		pol.expire(now, func(pie *piece) { sch.remake(now, pie) })
 	}
-	for _, job := range dsk.jobs {
+	for _, job := range sch.jobs {
 		if job.run != nil {
-			dsk.engines[job.spec.Service].Overdue(now, job.run)
+			sch.engines[job.spec.Service].Overdue(now, job.run)
 		}
 	}
-	if !dsk.ply.HoldHopeless && now.Sub(dsk.prunedAt) >= prunePeriod {
-		dsk.prunedAt = now
-		dsk.prune(now)
+	if !sch.ply.KeepInfeasible && now.Sub(sch.shedAt) >= shedPeriod {
+		sch.shedAt = now
+		sch.shed(now)
 	}
-	dsk.dispatch(now)
+	sch.dispatch(now)
 }
--- a/core/batch/batch_test.go
+++ b/core/sched/scheduler_test.go
@@ -1,4 +1,4 @@
-package batch
+package sched
 
 import (
 	"fmt"
@@ -15,35 +15,35 @@
 
 var start = time.Unix(1000, 0)
 
-// outs keeps what a desk decides.
-type outs struct {
+// outs keeps what a scheduler decides.
+type effects struct {
 	calls    []Call
 	cuts     []uint64
 	freed    map[string][]string
-	verdicts map[string]Verdict
+	verdicts map[string]Decision
 	held     []Held
 }
 
-func (out *outs) Call(cal Call)     { out.calls = append(out.calls, cal) }
-func (out *outs) Cut(number uint64) { out.cuts = append(out.cuts, number) }
-func (out *outs) Free(adr string, handles []string) {
+func (out *effects) Call(cal Call)     { out.calls = append(out.calls, cal) }
+func (out *effects) Cut(number uint64) { out.cuts = append(out.cuts, number) }
+func (out *effects) Free(adr string, handles []string) {
 	out.freed[adr] = append(out.freed[adr], handles...)
 }
-func (out *outs) Keep(hld Held)    { out.held = append(out.held, hld) }
-func (out *outs) Tell(ver Verdict) { out.verdicts[ver.Key.ID] = ver }
+func (out *effects) Keep(hld Held)       { out.held = append(out.held, hld) }
+func (out *effects) Notify(ver Decision) { out.verdicts[ver.Key.ID] = ver }
 
 // take returns the calls since the last take.
-func (out *outs) take() []Call {
+func (out *effects) take() []Call {
 	got := out.calls
 	out.calls = nil
 	return got
 }
 
-func newDesk(servers ...stock.Entry) (*Desk, *outs) {
-	out := &outs{freed: map[string][]string{}, verdicts: map[string]Verdict{}}
-	dsk := New(out, NewRepeats(0.2, 10, 10*time.Second), rates.NewBook())
-	dsk.Configure(start, services(), servers)
-	return dsk, out
+func newScheduler(servers ...stock.Entry) (*Scheduler, *effects) {
+	out := &effects{freed: map[string][]string{}, verdicts: map[string]Decision{}}
+	sch := New(out, NewRetryBudget(0.2, 10, 10*time.Second), rates.NewBook())
+	sch.Configure(start, services(), servers)
+	return sch, out
 }
 
 func services() *table.Table {
@@ -69,84 +69,84 @@
 }
 
 // answer ends a call with a result for each piece.
-func answer(dsk *Desk, now time.Time, cal Call) {
+func answer(sch *Scheduler, now time.Time, cal Call) {
 	var res []Result
 	for _, itm := range cal.Items {
 		res = append(res, Result{Handle: fmt.Sprintf("%s/%s-%d-%d", cal.Server.ID, itm.ID, itm.Stage, itm.Piece)})
 	}
-	dsk.CallEnded(now, cal.Number, res, Answered)
+	sch.CallEnded(now, cal.Number, res, Answered)
 }
 
 // A request passes through its stages: pieces carry the key or all inputs, the
 // engine gets the last results, and everything is given up once it has them.
 func TestWholePath(t *testing.T) {
-	dsk, out := newDesk(both...)
-	dsk.Submit(start, spec("r1", 2, 1))
+	sch, out := newScheduler(both...)
+	sch.Submit(start, spec("r1", 2, 1))
 	cal := out.take()[0]
 	require.Equal(t, "f1", cal.Server.ID)
 	require.Equal(t, []Item{{ID: "r1", Piece: 0, Key: "k-r1", Left: 6 * time.Second}, {ID: "r1", Piece: 1, Key: "k-r1", Left: 6 * time.Second}}, cal.Items)
 	now := start.Add(200 * time.Millisecond)
-	answer(dsk, now, cal)
+	answer(sch, now, cal)
 	cal = out.take()[0]
 	require.Equal(t, []string{"f1/r1-0-0", "f1/r1-0-1"}, cal.Items[0].Inputs)
-	answer(dsk, now.Add(200*time.Millisecond), cal)
+	answer(sch, now.Add(200*time.Millisecond), cal)
 	require.Len(t, out.freed["f1"], 2, "used by the second stage")
 	ver := out.verdicts["r1"]
-	require.Equal(t, Placed, ver.Word)
+	require.Equal(t, Placed, ver.Outcome)
 	require.Equal(t, []string{"s1/r1-1-0"}, ver.Inputs)
 	require.Empty(t, out.freed["s1"])
-	dsk.Began(now.Add(time.Second), Key{"me", "r1"})
+	sch.Began(now.Add(time.Second), Key{"me", "r1"})
 	require.Len(t, out.freed["s1"], 1)
-	dsk.Ended(now.Add(2*time.Second), Key{"me", "r1"}, place.Done)
-	require.Zero(t, dsk.Jobs())
+	sch.Ended(now.Add(2*time.Second), Key{"me", "r1"}, place.Done)
+	require.Zero(t, sch.Jobs())
 }
 
 // An engine sheds a request. Its results are there; made anew they would cost
 // what others need, and the request its time.
 func TestRetryKeepsResults(t *testing.T) {
-	dsk, out := newDesk(both...)
-	dsk.Submit(start, spec("r1", 1, 1))
-	answer(dsk, start, out.take()[0])
-	answer(dsk, start, out.take()[0])
+	sch, out := newScheduler(both...)
+	sch.Submit(start, spec("r1", 1, 1))
+	answer(sch, start, out.take()[0])
+	answer(sch, start, out.take()[0])
 	first := out.verdicts["r1"].Server.ID
-	require.True(t, dsk.Retry(start, Key{"me", "r1"}, place.Full, false))
+	require.True(t, sch.Retry(start, Key{"me", "r1"}, place.Full, false))
 	require.Empty(t, out.take())
-	require.Equal(t, Placed, out.verdicts["r1"].Word)
+	require.Equal(t, Placed, out.verdicts["r1"].Outcome)
 	require.NotEqual(t, first, out.verdicts["r1"].Server.ID)
-	require.True(t, dsk.Retry(start, Key{"me", "r1"}, place.Done, true), "an input is gone")
+	require.True(t, sch.Retry(start, Key{"me", "r1"}, place.Done, true), "an input is gone")
 	require.Len(t, out.take(), 1)
-	require.False(t, dsk.Retry(start, Key{"me", "other"}, place.Full, false))
+	require.False(t, sch.Retry(start, Key{"me", "other"}, place.Full, false))
 }
 
 // A server dies with results and a call. What is still needed is made again.
 func TestLostServerIsMadeGood(t *testing.T) {
-	dsk, out := newDesk(append(both, entry("first", "f2", "z"))...)
-	dsk.Submit(start, spec("r1", 1, 1))
+	sch, out := newScheduler(append(both, entry("first", "f2", "z"))...)
+	sch.Submit(start, spec("r1", 1, 1))
 	cal := out.take()[0]
-	dsk.CallEnded(start.Add(time.Second), cal.Number, nil, Unanswered)
+	sch.CallEnded(start.Add(time.Second), cal.Number, nil, NoReply)
 	again := out.take()[0]
-	answer(dsk, start.Add(time.Second), again)
+	answer(sch, start.Add(time.Second), again)
 	require.Equal(t, "s1", out.take()[0].Server.ID)
 	reborn := entry("first", again.Server.ID, "z")
 	reborn.Born = 7
-	dsk.Configure(start.Add(1100*time.Millisecond), services(), []stock.Entry{entry("second", "s1", "z"), entry("model", "m1", "z"), reborn})
-	require.Len(t, out.take(), 1, "the input lay at the server that was born anew")
+	sch.Configure(start.Add(1100*time.Millisecond), services(), []stock.Entry{entry("second", "s1", "z"), entry("model", "m1", "z"), reborn})
+	require.Len(t, out.take(), 1, "the input lay at the server that was born coldStart")
 }
 
 // The room of a server is full of results. Sent all the same, a piece comes
 // back unmade after the whole call.
 func TestRoomIsCounted(t *testing.T) {
-	dsk, out := newDesk(both...)
+	sch, out := newScheduler(both...)
 	var sizes []int
 	for num := range 4 {
-		dsk.Submit(start, spec(fmt.Sprintf("%c", 'a'+num), 8, 1))
+		sch.Submit(start, spec(fmt.Sprintf("%c", 'a'+num), 8, 1))
 		for _, cal := range out.take() {
 			if cal.Server.ID != "f1" {
 				continue
 			}
 			// The second stage stays unanswered, so that the results lie on.
 			sizes = append(sizes, len(cal.Items))
-			answer(dsk, start, cal)
+			answer(sch, start, cal)
 		}
 	}
 	for _, cal := range out.take() {
@@ -159,47 +159,47 @@
 // must go on with others at once; one that rested for each such piece cost a
 // tenth of its pool in a burst.
 func TestPieceWithoutRoomDoesNotRestItsServer(t *testing.T) {
-	dsk, out := newDesk(both...)
-	dsk.Submit(start, spec("a", 8, 1))
+	sch, out := newScheduler(both...)
+	sch.Submit(start, spec("a", 8, 1))
 	cal := out.take()[0]
-	dsk.Submit(start, spec("b", 2, 1))
+	sch.Submit(start, spec("b", 2, 1))
 	require.Empty(t, out.take(), "one call at a time")
 	var res []Result
 	for idx := range cal.Items {
 		res = append(res, Result{Handle: fmt.Sprintf("f1/%d", idx)})
 	}
-	res[7] = Result{Reason: NoRoom}
-	dsk.CallEnded(start, cal.Number, res, Answered)
+	res[7] = Result{Reason: OutOfMemory}
+	sch.CallEnded(start, cal.Number, res, Answered)
 	got := out.take()
 	require.Len(t, got, 1)
 	require.Len(t, got[0].Items, 3, "the piece without room, and the others")
-	require.Greater(t, dsk.pools["first"].servers["f1"].puff, 1.0)
+	require.Greater(t, sch.pools["first"].servers["f1"].sizeFactor, 1.0)
 }
 
 // A caller leaves while its pieces are worked on: what was made is given up at
 // once, and what waits is withdrawn.
 func TestLeavingCallerFreesEverything(t *testing.T) {
-	dsk, out := newDesk(both...)
-	dsk.Submit(start, spec("r1", 3))
+	sch, out := newScheduler(both...)
+	sch.Submit(start, spec("r1", 3))
 	cal := out.take()[0]
-	dsk.Submit(start, spec("r2", 3))
-	dsk.Cancel(start, Key{"me", "r1"})
-	dsk.Cancel(start, Key{"me", "r2"})
-	answer(dsk, start, cal)
+	sch.Submit(start, spec("r2", 3))
+	sch.Cancel(start, Key{"me", "r1"})
+	sch.Cancel(start, Key{"me", "r2"})
+	answer(sch, start, cal)
 	require.Len(t, out.freed["f1"], 3)
 	require.Empty(t, out.take())
-	require.Zero(t, dsk.Jobs())
+	require.Zero(t, sch.Jobs())
 }
 
 // A refusal comes at once, with a wait that its caller can heed; nothing of the
 // request was sent. When the caller comes back, it is known.
 func TestRefusalAtTheDoor(t *testing.T) {
-	dsk, out := newDesk(both...)
+	sch, out := newScheduler(both...)
 	refused := ""
 	for num := range 200 {
 		id := fmt.Sprintf("%c", 'A'+num)
-		dsk.Submit(start, spec(id, 8, 1))
-		if ver, have := out.verdicts[id]; have && ver.Word == Refused {
+		sch.Submit(start, spec(id, 8, 1))
+		if ver, have := out.verdicts[id]; have && ver.Outcome == Refused {
 			refused = id
 			require.Equal(t, "queue-too-long", ver.Reason)
 			require.Greater(t, ver.After, soonest-1)
@@ -217,8 +217,8 @@
 	back := spec(refused, 1, 1)
 	back.Key.ID = "back"
 	back.Aim = start.Add(time.Hour)
-	job, _ := dsk.build(start, back)
-	dsk.recall(start.Add(time.Second), job)
+	job, _ := sch.build(start, back)
+	sch.matchReturning(start.Add(time.Second), job)
 	require.True(t, job.returned)
 	require.Equal(t, start.Add(1500*time.Millisecond), job.spec.Aim)
 }
@@ -228,56 +228,56 @@
 // way are bounded, and one small call at a time finds out whether the servers
 // can be reached; when one answers, all are used again.
 func TestSilentZoneIsFoundOutOnce(t *testing.T) {
-	dsk, out := newDesk(entry("first", "f1", "y"), entry("first", "f2", "y"), entry("second", "s1", "z"), entry("model", "m1", "z"))
-	dsk.Submit(start, spec("a", 8))
+	sch, out := newScheduler(entry("first", "f1", "y"), entry("first", "f2", "y"), entry("second", "s1", "z"), entry("model", "m1", "z"))
+	sch.Submit(start, spec("a", 8))
 	cal := out.take()[0]
 	require.Equal(t, 8, len(cal.Items))
 	now := start.Add(850 * time.Millisecond)
-	dsk.Doubt(now, map[string]bool{"y": true})
-	dsk.Tick(now.Add(time.Millisecond))
+	sch.Suspect(now, map[string]bool{"y": true})
+	sch.Tick(now.Add(time.Millisecond))
 	require.Equal(t, []uint64{cal.Number}, out.cuts)
 	require.Empty(t, out.take(), "a call there has just failed")
-	now = now.Add(doubtRest + 2*time.Millisecond)
-	dsk.Tick(now)
+	now = now.Add(suspectRest + 2*time.Millisecond)
+	sch.Tick(now)
 	probe := out.take()
 	require.Len(t, probe, 1)
-	require.Len(t, probe[0].Items, doubtPieces)
+	require.Len(t, probe[0].Items, suspectPieces)
 	require.Less(t, probe[0].Limit, time.Second)
-	answer(dsk, now, probe[0])
+	answer(sch, now, probe[0])
 	num := 0
 	for _, cal := range out.take() {
 		num += len(cal.Items)
 	}
 	require.Equal(t, 6, num, "the rest at once")
-	dsk.Doubt(now, nil)
-	require.Empty(t, dsk.doubts)
+	sch.Suspect(now, nil)
+	require.Empty(t, sch.suspicions)
 }
 
 // All engines are full. A place that becomes free must go to who is due first,
 // not to whoever comes to hand.
 func TestFreePlacesGoInOrder(t *testing.T) {
-	out := &outs{freed: map[string][]string{}, verdicts: map[string]Verdict{}}
-	dsk := New(out, NewRepeats(0.2, 10, 10*time.Second), rates.NewBook())
+	out := &effects{freed: map[string][]string{}, verdicts: map[string]Decision{}}
+	sch := New(out, NewRetryBudget(0.2, 10, 10*time.Second), rates.NewBook())
 	tab := table.New(1, nil, []*table.Service{{Name: "model", Model: &table.Model{Slots: 1, Memory: 600_000}}}, nil, table.Limits{})
-	dsk.Configure(start, tab, []stock.Entry{entry("model", "m1", "z")})
+	sch.Configure(start, tab, []stock.Entry{entry("model", "m1", "z")})
 	for num := range 12 {
 		spc := spec(fmt.Sprintf("r%02d", num))
 		spc.Stages = nil
 		spc.Aim = start.Add(time.Duration(2000-10*num) * time.Millisecond)
-		dsk.Submit(start, spc)
+		sch.Submit(start, spc)
 	}
-	require.Equal(t, Placed, out.verdicts["r00"].Word)
+	require.Equal(t, Placed, out.verdicts["r00"].Outcome)
 	last := "r00"
 	for num := 11; num > 0; num-- {
-		dsk.Ended(start, Key{"me", last}, place.Done)
+		sch.Ended(start, Key{"me", last}, place.Done)
 		last = fmt.Sprintf("r%02d", num)
-		require.Equal(t, Placed, out.verdicts[last].Word, last)
+		require.Equal(t, Placed, out.verdicts[last].Outcome, last)
 	}
 }
 
-// Repeats of all instances together stay within a share and a number.
+// RetryBudget of all instances together stay within a share and a number.
 func TestRepeatsAreBounded(t *testing.T) {
-	rep := NewRepeats(0.2, 10, 10*time.Second)
+	rep := NewRetryBudget(0.2, 10, 10*time.Second)
 	for range 50 {
 		rep.Count(start, "s", false)
 	}
@@ -303,10 +303,10 @@
 	for num := range 90 {
 		servers = append(servers, entry("model", fmt.Sprintf("m%d", num), "z"))
 	}
-	dsk, out := newDesk(servers...)
+	sch, out := newScheduler(servers...)
 	for num := range 350 {
 		spc := spec(fmt.Sprintf("r%d", num), 4, 1)
-		dsk.Submit(start, spc)
+		sch.Submit(start, spc)
 	}
 	out.take()
 	b.ReportAllocs()
@@ -314,8 +314,8 @@
 	for b.Loop() {
 		num++
 		spc := spec("x", 2, 1)
-		dsk.Submit(start, spc)
-		dsk.Cancel(start, spc.Key)
+		sch.Submit(start, spc)
+		sch.Cancel(start, spc.Key)
 		out.calls = out.calls[:0]
 	}
 }
@@ -325,23 +325,23 @@
 // nothing can be made ends at once; sent again at once, it came back twenty
 // times a second from each server, and jobs were given up after six times.
 func TestServerWithoutRoomRests(t *testing.T) {
-	dsk, out := newDesk(both...)
-	dsk.Submit(start, spec("a", 8, 1))
+	sch, out := newScheduler(both...)
+	sch.Submit(start, spec("a", 8, 1))
 	now := start
 	full := func(cal Call) {
 		res := make([]Result, len(cal.Items))
 		for idx := range res {
-			res[idx].Reason = NoRoom
+			res[idx].Reason = OutOfMemory
 		}
-		dsk.CallEnded(now, cal.Number, res, Answered)
+		sch.CallEnded(now, cal.Number, res, Answered)
 	}
 	for range 2 * mostTries {
 		got := out.take()
 		require.Len(t, got, 1)
 		full(got[0])
 		require.Empty(t, out.take(), "nothing at once")
-		now = now.Add(noRoomRest + time.Millisecond)
-		dsk.Tick(now)
+		now = now.Add(outOfMemoryRest + time.Millisecond)
+		sch.Tick(now)
 		if len(out.verdicts) > 0 {
 			break
 		}
@@ -352,18 +352,18 @@
 // A server without room rests, and one of its results is given up. It has room
 // again, and must be asked at once.
 func TestRoomThatIsGivenUpEndsTheRest(t *testing.T) {
-	dsk, out := newDesk(both...)
-	dsk.Submit(start, spec("a", 4, 1))
+	sch, out := newScheduler(both...)
+	sch.Submit(start, spec("a", 4, 1))
 	first := out.take()[0]
-	dsk.Submit(start, spec("b", 4, 1))
-	answer(dsk, start, first)
+	sch.Submit(start, spec("b", 4, 1))
+	answer(sch, start, first)
 	for _, cal := range out.take() {
 		if cal.Server.ID == "f1" {
-			dsk.CallEnded(start, cal.Number, []Result{{Reason: NoRoom}, {Reason: NoRoom}, {Reason: NoRoom}, {Reason: NoRoom}}, Answered)
+			sch.CallEnded(start, cal.Number, []Result{{Reason: OutOfMemory}, {Reason: OutOfMemory}, {Reason: OutOfMemory}, {Reason: OutOfMemory}}, Answered)
 		}
 	}
 	require.Empty(t, out.take())
-	dsk.Cancel(start, Key{"me", "a"})
+	sch.Cancel(start, Key{"me", "a"})
 	got := out.take()
 	require.Len(t, got, 1)
 	require.Equal(t, "b", got[0].Items[0].ID)
@@ -373,18 +373,18 @@
 // Held against that moment the whole queue was given up at once, and servers
 // stood idle a second later.
 func TestQueueOutlivesARush(t *testing.T) {
-	dsk, out := newDesk(append(both, entry("first", "f2", "z"), entry("first", "f3", "z"))...)
+	sch, out := newScheduler(append(both, entry("first", "f2", "z"), entry("first", "f3", "z"))...)
 	for num := range 30 {
-		dsk.Submit(start, spec(fmt.Sprintf("%c", 'A'+num), 2, 1))
+		sch.Submit(start, spec(fmt.Sprintf("%c", 'A'+num), 2, 1))
 	}
 	require.Empty(t, out.verdicts)
 	now := start.Add(200 * time.Millisecond)
 	for _, cal := range out.take() {
-		answer(dsk, now, cal)
+		answer(sch, now, cal)
 	}
 	now = start.Add(1250 * time.Millisecond)
-	dsk.pools["first"].flow(now, 60*time.Second)
-	dsk.Tick(now)
-	require.True(t, dsk.jobs[Key{"me", "Z"}].rank.late)
+	sch.pools["first"].flow(now, 60*time.Second)
+	sch.Tick(now)
+	require.True(t, sch.jobs[Key{"me", "Z"}].rank.late)
 	require.Empty(t, out.verdicts)
 }
--- a/core/batch/prune.go
+++ b/core/sched/shed.go
@@ -1,4 +1,4 @@
-package batch
+package sched
 
 import (
 	"sort"
@@ -6,16 +6,16 @@
 )
 
 const (
-	// prunePeriod is how often hopeless jobs are looked for. A job is held for
+	// shedPeriod is how often infeasible jobs are looked for. A job is held for
 	// no longer than that once it is known to come too late.
-	prunePeriod = 100 * time.Millisecond
-	// pruneMargin is how far an estimate may lie beyond the time until the
+	shedPeriod = 100 * time.Millisecond
+	// shedMargin is how far an estimate may lie beyond the time until the
 	// caller leaves before a job that waits is given up: estimates run high
 	// while calls are fuller than usual.
-	pruneMargin = 1.25
+	shedMargin = 1.25
 )
 
-// prune gives up the jobs that would come after their callers left, by one pass
+// shed gives up the jobs that would come after their callers left, by one pass
 // over all that wait, in the order in which they will be served. Callers hear
 // at once, and can come back.
 //
@@ -24,28 +24,28 @@
 // never have their turn, which shows only after they were admitted.
 //
 // The wait is taken at the pools' full capacity. What jobs in time leave of it
-// goes up and down within a second: held against that, hundreds of jobs were
+// transferable up and down within a second: held against that, hundreds of jobs were
 // given up at one moment after 0.7 s, and servers stood idle the next.
-func (dsk *Desk) prune(now time.Time) {
-	jobs := make([]*job, 0, len(dsk.list))
-	for _, job := range dsk.list {
+func (sch *Scheduler) shed(now time.Time) {
+	jobs := make([]*job, 0, len(sch.list))
+	for _, job := range sch.list {
 		if job.run == nil && !job.over {
-			job.rank = dsk.rankOf(now, job)
+			job.rank = sch.rankOf(now, job)
 			jobs = append(jobs, job)
 		}
 	}
 	sort.Slice(jobs, func(i, j int) bool { return jobs[i].rank.before(jobs[j].rank) })
-	for _, pol := range dsk.pools {
-		pol.ahead = dsk.busy(now, pol)
+	for _, pol := range sch.pools {
+		pol.ahead = sch.busy(now, pol)
 	}
-	clear(dsk.queued)
+	clear(sch.queued)
 	var lost []*job
 	for _, job := range jobs {
-		if dsk.hopeless(now, job) {
+		if sch.infeasible(now, job) {
 			lost = append(lost, job)
 			continue
 		}
-		dsk.queue(job)
+		sch.queue(job)
 		for _, stg := range job.stages {
 			if stg.left > 0 {
 				stg.pool.ahead.work += stg.work()
@@ -53,20 +53,20 @@
 		}
 	}
 	for _, job := range lost {
-		dsk.giveUpJob(now, job)
+		sch.abandon(now, job)
 	}
 }
 
-// hopeless reports whether a job can't have its first event before its caller
+// infeasible reports whether a job can't have its first event before its caller
 // leaves, behind what goes before it.
-func (dsk *Desk) hopeless(now time.Time, job *job) bool {
+func (sch *Scheduler) infeasible(now time.Time, job *job) bool {
 	left := job.spec.Give.Sub(now)
-	least := dsk.least(job)
+	least := sch.least(job)
 	job.expected = least
 	if least > left {
 		return true
 	}
-	if wait := dsk.limitWait(now, job); wait > left {
+	if wait := sch.limitWait(now, job); wait > left {
 		// What waits for limited servers holds room meanwhile, begun or not.
 		job.limited = true
 		job.expected = wait
@@ -83,16 +83,16 @@
 		wait = max(wait, stg.pool.ahead.wait())
 	}
 	job.expected = wait + least
-	return float64(wait+least) > pruneMargin*float64(left)
+	return float64(wait+least) > shedMargin*float64(left)
 }
 
-func (dsk *Desk) giveUpJob(now time.Time, job *job) {
-	read := dsk.survey(now, job)
-	after := comeBack(now, job, dsk.estimate(now, job, lateRank(job), read))
+func (sch *Scheduler) abandon(now time.Time, job *job) {
+	read := sch.survey(now, job)
+	after := retryAfter(now, job, sch.estimate(now, job, lateRank(job), read))
 	reason := "no-time-left"
 	if job.limited {
 		reason = reasonLimited
 	}
-	dsk.end(now, job)
-	dsk.refuse(now, job, Verdict{Reason: reason, After: after, Expected: job.expected, Allowed: job.spec.Give.Sub(now)})
+	sch.end(now, job)
+	sch.refuse(now, job, Decision{Reason: reason, After: after, Expected: job.expected, Allowed: job.spec.Give.Sub(now)})
 }
--- a/core/batch/state.go
+++ b/core/sched/state.go
@@ -1,4 +1,4 @@
-package batch
+package sched
 
 import "time"
 
@@ -17,22 +17,22 @@
 	Calls  int
 	Pieces int
 	Room   float64
-	// NoRoom counts pieces since the last look for which a server had no room.
-	NoRoom int
-	Slow   float64
+	// OutOfMemory counts pieces since the last look for which a server had no room.
+	OutOfMemory int
+	Slow        float64
 }
 
 // States tells what each pool does and begins to count anew.
-func (dsk *Desk) States(now time.Time) []PoolState {
+func (sch *Scheduler) States(now time.Time) []PoolState {
 	var out []PoolState
-	for name, pol := range dsk.pools {
-		sta := PoolState{Service: name, Calls: pol.calls, Pieces: pol.sent, NoRoom: pol.noRoom}
-		pol.calls, pol.sent, pol.noRoom = 0, 0, 0
+	for name, pol := range sch.pools {
+		sta := PoolState{Service: name, Calls: pol.calls, Pieces: pol.sent, OutOfMemory: pol.outOfMemory}
+		pol.calls, pol.sent, pol.outOfMemory = 0, 0, 0
 		for _, ser := range pol.servers {
 			if ser.usable(now) {
 				sta.Servers++
 			}
-			if len(ser.flights) > 0 {
+			if len(ser.inFlight) > 0 {
 				sta.Busy++
 			}
 			sta.Room += float64(ser.used) / float64(pol.svc.Batch.Room) / float64(len(pol.servers))
@@ -40,7 +40,7 @@
 		}
 		for job, list := range pol.waiting {
 			sta.Waiting += len(list)
-			if !dsk.rankOf(now, job).late {
+			if !sch.rankOf(now, job).late {
 				sta.InTime += len(list)
 			}
 		}
--- a/core/batch/handoff.go
+++ b/core/sched/transfer.go
@@ -1,4 +1,4 @@
-package batch
+package sched
 
 import (
 	"time"
@@ -6,38 +6,38 @@
 	"lovagestream/core/stock"
 )
 
-// HandOff ends the jobs that were submitted before a time, since another
+// Transfer ends the jobs that were submitted before a time, since another
 // instance forms the calls now, and tells their entry instances who. Jobs with
 // calls under way follow when these have ended. It reports how many went.
 //
-// Load pattern: all instances start anew in the same moment, and each forms calls
+// Load pattern: all instances start again in the same moment, and each forms calls
 // by itself until it sees the others; or the instance that forms them is stopped
 // in a burst. What it went on with meanwhile took part of every server's turns
 // with calls that were all but empty, beside its successor, who didn't know what
 // filled the room. Jobs that come later are kept: whoever sent them saw it
 // otherwise, and they would go to and fro.
-func (dsk *Desk) HandOff(now, before time.Time, to string) int {
+func (sch *Scheduler) Transfer(now, before time.Time, to string) int {
 	num := 0
-	dsk.handed = before
-	for _, job := range dsk.jobs {
-		if !dsk.goes(job) || job.flying() {
+	sch.transferBefore = before
+	for _, job := range sch.jobs {
+		if !sch.transferable(job) || job.hasInFlight() {
 			continue
 		}
-		dsk.drop(now, job)
-		dsk.out.Tell(Verdict{Key: job.spec.Key, Word: Moved, Reason: "desk-moved", Server: stock.Entry{Address: to}})
+		sch.drop(now, job)
+		sch.out.Notify(Decision{Key: job.spec.Key, Outcome: Moved, Reason: "scheduler-moved", Server: stock.Entry{Address: to}})
 		num++
 	}
 	return num
 }
 
-// goes reports whether a job is to be handed off. It gets no further calls: one
+// transferable reports whether a job is to be handed off. It gets no further calls: one
 // that meets full servers would be under way again each time before it can go.
-func (dsk *Desk) goes(job *job) bool { return job.since.Before(dsk.handed) }
+func (sch *Scheduler) transferable(job *job) bool { return job.since.Before(sch.transferBefore) }
 
-// flying reports whether calls have pieces of a job.
-func (job *job) flying() bool {
+// hasInFlight reports whether calls have pieces of a job.
+func (job *job) hasInFlight() bool {
 	for _, stg := range job.stages {
-		if stg.flying > 0 {
+		if stg.inFlight > 0 {
 			return true
 		}
 	}
@@ -45,7 +45,7 @@
 }
 
 // drop ends a job whose results are another instance's now: they stay.
-func (dsk *Desk) drop(now time.Time, job *job) {
+func (sch *Scheduler) drop(now time.Time, job *job) {
 	for _, stg := range job.stages {
 		for _, pie := range stg.pieces {
 			if pie.server != nil {
@@ -53,5 +53,5 @@
 			}
 		}
 	}
-	dsk.end(now, job)
+	sch.end(now, job)
 }
--- a/core/batch/types.go
+++ b/core/sched/types.go
@@ -1,4 +1,4 @@
-package batch
+package sched
 
 import (
 	"time"
@@ -85,8 +85,8 @@
 	Late
 	// InputGone pieces lack an input.
 	InputGone
-	// NoRoom means that results fill the server.
-	NoRoom
+	// OutOfMemory means that results fill the server.
+	OutOfMemory
 	// Broken covers everything else.
 	Broken
 )
@@ -97,13 +97,13 @@
 	Reason Reason
 }
 
-// Word tells an entry instance what became of its job.
-type Word uint8
+// Outcome tells an entry instance what became of its job.
+type Outcome uint8
 
 const (
 	// Refused jobs will not run, and were sent to no engine. Results that were
 	// made for them are given up.
-	Refused Word = iota + 1
+	Refused Outcome = iota + 1
 	// Dropped jobs can't go on for a reason that is not the load's.
 	Dropped
 	// Placed jobs go to the engine that is named.
@@ -113,7 +113,7 @@
 )
 
 // String names a word in logs.
-func (wrd Word) String() string {
+func (wrd Outcome) String() string {
 	switch wrd {
 	case Refused:
 		return "refused"
@@ -127,11 +127,11 @@
 	return "unknown"
 }
 
-// Verdict goes to a job's entry instance.
-type Verdict struct {
-	Key    Key
-	Word   Word
-	Reason string
+// Decision goes to a job's entry instance.
+type Decision struct {
+	Key     Key
+	Outcome Outcome
+	Reason  string
 	// After is when a refused caller may come back.
 	After time.Duration
 	// Expected is the estimate that decided on a refusal: the time to the first
@@ -142,8 +142,8 @@
 	Inputs   []string
 }
 
-// Out carries out what a Desk decides. Its methods must not block.
-type Out interface {
+// Effects carries out what a Desk decides. Its methods must not block.
+type Effects interface {
 	// Call sends a call; its end comes back through CallEnded.
 	Call(Call)
 	// Cut ends a call that took too long; no end comes back.
@@ -151,7 +151,7 @@
 	// Free gives results up at their maker.
 	Free(address string, handles []string)
 	// Tell brings a verdict to the job's entry instance.
-	Tell(Verdict)
+	Notify(Decision)
 	// Keep tells a job's entry instance what was made for it.
 	Keep(Held)
 }
--- a/io/edge/calls.go
+++ b/io/edge/calls.go
@@ -9,8 +9,8 @@
 
 	"github.com/pkg/errors"
 
-	"lovagestream/core/batch"
 	"lovagestream/core/call"
+	"lovagestream/core/sched"
 	"lovagestream/io/clock"
 	"lovagestream/io/conns"
 	"lovagestream/io/gauge"
@@ -20,8 +20,8 @@
 
 // StageDialect writes calls to stage servers and reads their answers.
 type StageDialect interface {
-	StageRun(cal batch.Call) (method, target string, fields []call.Field, body []byte, err error)
-	StageResults(body []byte) ([]batch.Result, error)
+	StageRun(cal sched.Call) (method, target string, fields []call.Field, body []byte, err error)
+	StageResults(body []byte) ([]sched.Result, error)
 	StageFree(handles []string) (method, target string, fields []call.Field, body []byte, err error)
 	Answer(status int, hdr http.Header) call.Answer
 }
@@ -62,15 +62,15 @@
 
 type evCallEnded struct {
 	number  uint64
-	results []batch.Result
-	how     batch.Ending
+	results []sched.Result
+	how     sched.CallStatus
 }
 
 func (evt evCallEnded) apply(ctl *Control, now time.Time) {
 	ctl.desk.CallEnded(now, evt.number, evt.results, evt.how)
 }
 
-func (cal *caller) run(ask batch.Call) {
+func (cal *caller) run(ask sched.Call) {
 	cal.grp.Go(func(ctx context.Context) error {
 		ctx, cancel := context.WithCancel(ctx)
 		defer cancel()
@@ -90,18 +90,18 @@
 	})
 }
 
-func (cal *caller) exchange(ctx context.Context, ask batch.Call) ([]batch.Result, batch.Ending, error) {
+func (cal *caller) exchange(ctx context.Context, ask sched.Call) ([]sched.Result, sched.CallStatus, error) {
 	method, target, fields, body, err := cal.dia.StageRun(ask)
 	if err != nil {
-		return nil, batch.Unanswered, err
+		return nil, sched.NoReply, err
 	}
 	rep, err := cal.poo.Do(ctx, conns.Send{Address: ask.Server.Address, Method: method, Target: target, Host: ask.Server.Address, Fields: fields, Body: body, Most: cal.ctl.View().Connections(ask.Server.Service)}, "", cal.dia.Answer)
 	var tak *conns.TakenError
 	if errors.As(err, &tak) {
-		return nil, batch.Full, err
+		return nil, sched.Full, err
 	}
 	if err != nil {
-		return nil, batch.Unanswered, err
+		return nil, sched.NoReply, err
 	}
 	defer rep.Close()
 	if rep.Answer.Status != http.StatusMisdirectedRequest {
@@ -110,20 +110,20 @@
 	got, err := io.ReadAll(io.LimitReader(rep, maxResults))
 	switch {
 	case err != nil:
-		return nil, batch.Unanswered, err
+		return nil, sched.NoReply, err
 	case rep.Answer.Status == http.StatusMisdirectedRequest:
 		cal.ctl.Stranger(ask.Server)
-		return nil, batch.Stranger, nil
+		return nil, sched.WrongServer, nil
 	case rep.Answer.NotRun:
-		return nil, batch.Full, errors.New("the server is full")
+		return nil, sched.Full, errors.New("the server is full")
 	case rep.Answer.Status != http.StatusOK:
-		return nil, batch.Unanswered, errors.Errorf("status %d", rep.Answer.Status)
+		return nil, sched.NoReply, errors.Errorf("status %d", rep.Answer.Status)
 	}
 	results, err := cal.dia.StageResults(got)
 	if err != nil {
-		return nil, batch.Unanswered, err
+		return nil, sched.NoReply, err
 	}
-	return results, batch.Answered, nil
+	return results, sched.Answered, nil
 }
 
 func (cal *caller) free(address string, handles []string) {
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -5,10 +5,10 @@
 	"sync/atomic"
 	"time"
 
-	"lovagestream/core/batch"
 	"lovagestream/core/marks"
 	"lovagestream/core/member"
 	"lovagestream/core/place"
+	"lovagestream/core/sched"
 	"lovagestream/core/stock"
 	"lovagestream/core/table"
 	"lovagestream/io/clock"
@@ -56,8 +56,8 @@
 
 // waiter is a request of this instance that was handed over.
 type waiter struct {
-	spec batch.Spec
-	out  chan batch.Verdict
+	spec sched.Spec
+	out  chan sched.Decision
 	// desk is who has it.
 	desk   string
 	placed bool
@@ -96,8 +96,8 @@
 	book    *stock.Book
 	tab     *table.Table
 	doc     []byte
-	desk    *batch.Desk
-	repeats *batch.Repeats
+	desk    *sched.Scheduler
+	repeats *sched.RetryBudget
 	limits  *limits
 	marks   *marks.Table
 	// strangers are servers whose address answered for another, by the
@@ -156,7 +156,7 @@
 var _ entry.Control = (*Control)(nil)
 var _ follow.Sink = (*Control)(nil)
 var _ mesh.Sink = (*Control)(nil)
-var _ batch.Out = (*Control)(nil)
+var _ sched.Effects = (*Control)(nil)
 
 // NewControl returns the control state of an instance that knows nothing yet.
 func NewControl(set Settings, clk clock.Service, dec Decoder, jou *lines.Writer, born int64) *Control {
@@ -164,11 +164,11 @@
 	ctl := &Control{
 		set: set, clk: clk, dec: dec, jou: jou, que: make(chan event, queueLength),
 		mem:  member.NewSet(member.Member{Address: set.Told, Zone: set.Zone, Born: born, Share: set.Share}),
-		book: stock.NewBook(), repeats: batch.NewRepeats(set.RepeatRatio, set.RepeatSlack, set.RepeatWindow), limits: newLimits(),
+		book: stock.NewBook(), repeats: sched.NewRetryBudget(set.RepeatRatio, set.RepeatSlack, set.RepeatWindow), limits: newLimits(),
 		strangers: map[string]int64{}, waiters: map[string]*waiter{}, news: newNews(), said: said{missed: map[string]bool{}}, large: make(chan struct{}, largeMessages), ended: make(chan struct{}), relinked: map[string]bool{}, frees: map[string][]string{}, asked: map[string]int{},
 		verified: true, startedAt: now, ticked: now, boot: bootTime(), deskAt: set.Told, reread: func() {},
 	}
-	ctl.desk = batch.New(ctl, ctl.repeats, ctl.limits.book)
+	ctl.desk = sched.New(ctl, ctl.repeats, ctl.limits.book)
 	ctl.desk.Start(now)
 	ctl.mem.Seeds(now, set.Seeds)
 	ctl.duty.Store(&follow.Duty{Reads: true, Crowd: 1})
@@ -298,15 +298,15 @@
 }
 
 // Submit hands a request over.
-func (ctl *Control) Submit(spc batch.Spec) <-chan batch.Verdict {
-	out := make(chan batch.Verdict, 1)
+func (ctl *Control) Submit(spc sched.Spec) <-chan sched.Decision {
+	out := make(chan sched.Decision, 1)
 	ctl.post(evSubmit{spec: spc, out: out})
 	return out
 }
 
 // Retry asks for another engine after a run without an answer.
-func (ctl *Control) Retry(spc batch.Spec, how place.Outcome, inputsGone bool) <-chan batch.Verdict {
-	out := make(chan batch.Verdict, 1)
+func (ctl *Control) Retry(spc sched.Spec, how place.Outcome, inputsGone bool) <-chan sched.Decision {
+	out := make(chan sched.Decision, 1)
 	ctl.post(evRetry{spec: spc, how: how, inputsGone: inputsGone, out: out})
 	return out
 }
@@ -363,13 +363,13 @@
 }
 
 // Call sends a call to a stage server.
-func (ctl *Control) Call(cal batch.Call) {
+func (ctl *Control) Call(cal sched.Call) {
 	ctl.jou.Note("stage-call", lines.Fields{"call": cal.Number, "server": cal.Server.ID, "service": cal.Server.Service, "pieces": len(cal.Items), "ids": ids(cal.Items)})
 	ctl.calls.run(cal)
 }
 
 // ids lists the requests of a call, each once.
-func ids(items []batch.Item) []string {
+func ids(items []sched.Item) []string {
 	var out []string
 	for _, itm := range items {
 		if len(out) == 0 || out[len(out)-1] != itm.ID {
@@ -388,7 +388,7 @@
 }
 
 // Keep tells an entry instance what was made for its request.
-func (ctl *Control) Keep(hld batch.Held) {
+func (ctl *Control) Keep(hld sched.Held) {
 	if hld.Key.Owner == ctl.set.Told {
 		ctl.held(ctl.clk.Now(), ctl.set.Told, hld)
 		return
@@ -398,13 +398,13 @@
 	}
 }
 
-// Tell brings a verdict to its entry instance.
-func (ctl *Control) Tell(ver batch.Verdict) {
+// Notify brings a verdict to its entry instance.
+func (ctl *Control) Notify(ver sched.Decision) {
 	if ver.Key.Owner == ctl.set.Told {
 		ctl.verdict(ctl.set.Told, ver)
 		return
 	}
-	if !ctl.lnk.Send(ver.Key.Owner, mesh.Verdict{Verdict: ver}) {
+	if !ctl.lnk.Send(ver.Key.Owner, mesh.Decision{Decision: ver}) {
 		ctl.jou.Note("verdict-unsent", lines.Fields{"id": ver.Key.ID, "to": ver.Key.Owner})
 	}
 }
--- a/io/edge/control_test.go
+++ b/io/edge/control_test.go
@@ -11,9 +11,9 @@
 	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
-	"lovagestream/core/batch"
 	"lovagestream/core/call"
 	"lovagestream/core/member"
+	"lovagestream/core/sched"
 	"lovagestream/core/stock"
 	"lovagestream/core/table"
 	"lovagestream/io/clock"
@@ -157,19 +157,19 @@
 	ctl.do(evLinked{mem: member.Member{Address: "a", Zone: "z", Born: 1, Share: 400}}, evGot{from: "a", msg: mesh.Beat{Beat: member.Beat{Ready: true}}})
 	ctl.duties(ctl.clk.Now())
 	require.Equal(t, "a", ctl.deskAt)
-	one, two := make(chan batch.Verdict, 1), make(chan batch.Verdict, 1)
-	spec := func(id string) batch.Spec {
+	one, two := make(chan sched.Decision, 1), make(chan sched.Decision, 1)
+	spec := func(id string) sched.Spec {
 		now := ctl.clk.Now()
-		return batch.Spec{Key: batch.Key{Owner: "b", ID: id}, Service: "m", Prompt: 10, Arrived: now, Aim: now.Add(time.Second), Give: now.Add(4 * time.Second), End: now.Add(9 * time.Second)}
+		return sched.Spec{Key: sched.Key{Owner: "b", ID: id}, Service: "m", Prompt: 10, Arrived: now, Aim: now.Add(time.Second), Give: now.Add(4 * time.Second), End: now.Add(9 * time.Second)}
 	}
 	ctl.do(evSubmit{spec: spec("r1"), out: one}, evSubmit{spec: spec("r2"), out: two})
 	require.Len(t, of[mesh.Submit](lnk, "a"), 2)
-	ctl.do(evGot{from: "a", msg: mesh.Verdict{Verdict: batch.Verdict{Key: batch.Key{Owner: "b", ID: "r1"}, Word: batch.Placed, Server: engine("e", 4).Entry}}})
-	require.Equal(t, batch.Placed, (<-one).Word)
+	ctl.do(evGot{from: "a", msg: mesh.Decision{Decision: sched.Decision{Key: sched.Key{Owner: "b", ID: "r1"}, Outcome: sched.Placed, Server: engine("e", 4).Entry}}})
+	require.Equal(t, sched.Placed, (<-one).Outcome)
 	lnk.down["a"] = true
 	ctl.do(evUnlinked{address: "a"})
 	require.Equal(t, "b", ctl.deskAt)
-	require.Equal(t, batch.Placed, (<-two).Word, "placed by this instance")
+	require.Equal(t, sched.Placed, (<-two).Outcome, "placed by this instance")
 	require.Equal(t, 2, ctl.desk.Jobs(), "the running one is counted")
 	ctl.do(evEnded{id: "r1"}, evEnded{id: "r2"})
 	require.Zero(t, ctl.desk.Jobs())
@@ -189,8 +189,8 @@
 	ctl.do(evLinked{mem: member.Member{Address: "a", Zone: "z", Born: 1, Share: 400}}, evGot{from: "a", msg: mesh.Beat{Beat: member.Beat{Ready: true}}})
 	ctl.duties(ctl.clk.Now())
 	now := ctl.clk.Now()
-	spec := batch.Spec{Key: batch.Key{Owner: "b", ID: "r1"}, Service: "m", Prompt: 10, Arrived: now, Aim: now.Add(time.Second), Give: now.Add(4 * time.Second), End: now.Add(9 * time.Second)}
-	ctl.do(evSubmit{spec: spec, out: make(chan batch.Verdict, 1)})
+	spec := sched.Spec{Key: sched.Key{Owner: "b", ID: "r1"}, Service: "m", Prompt: 10, Arrived: now, Aim: now.Add(time.Second), Give: now.Add(4 * time.Second), End: now.Add(9 * time.Second)}
+	ctl.do(evSubmit{spec: spec, out: make(chan sched.Decision, 1)})
 	got := linesOf(t, ctl, &out, "request-submitted")
 	require.Len(t, got, 1)
 	require.Contains(t, got[0], `"id":"r1"`)
@@ -209,7 +209,7 @@
 	var out bytes.Buffer
 	ctl.jou = lines.New(&out, clock.System{})
 	ctl.calls.dia, ctl.calls.jou = mute{}, ctl.jou
-	ctl.calls.run(batch.Call{Number: 7, Server: stock.Entry{ID: "p1", Service: "p"}, Items: []batch.Item{{ID: "r1", Piece: 0}, {ID: "r1", Piece: 1}, {ID: "r2"}}})
+	ctl.calls.run(sched.Call{Number: 7, Server: stock.Entry{ID: "p1", Service: "p"}, Items: []sched.Item{{ID: "r1", Piece: 0}, {ID: "r1", Piece: 1}, {ID: "r2"}}})
 	<-ctl.que
 	got := linesOf(t, ctl, &out, "stage-call-failed")
 	require.Len(t, got, 1)
@@ -227,7 +227,7 @@
 // mute makes no calls.
 type mute struct{ StageDialect }
 
-func (mute) StageRun(batch.Call) (string, string, []call.Field, []byte, error) {
+func (mute) StageRun(sched.Call) (string, string, []call.Field, []byte, error) {
 	return "", "", nil, nil, errors.New("test: no calls are made")
 }
 
@@ -244,11 +244,11 @@
 		return stock.Known{Revision: 4, Entry: stock.Entry{ID: id, Service: "p", Address: id, Zone: "z"}}
 	}
 	ctl.do(evConfig{doc: []byte("3")}, evServers{list: follow.Listing{Revision: 5, Words: []stock.Known{engine("e", 4), entry("p1"), entry("p2")}}, whole: true}, evStore{})
-	spec := func(owner, id string, pieces int) batch.Spec {
+	spec := func(owner, id string, pieces int) sched.Spec {
 		now := ctl.clk.Now()
-		return batch.Spec{Key: batch.Key{Owner: owner, ID: id}, Service: "m", Stages: []table.Stage{{Service: "p", Size: 1}}, Pieces: []int{pieces}, PieceKey: "k", Prompt: 10, Arrived: now, Aim: now.Add(time.Second), Give: now.Add(4 * time.Second), End: now.Add(9 * time.Second)}
+		return sched.Spec{Key: sched.Key{Owner: owner, ID: id}, Service: "m", Stages: []table.Stage{{Service: "p", Size: 1}}, Pieces: []int{pieces}, PieceKey: "k", Prompt: 10, Arrived: now, Aim: now.Add(time.Second), Give: now.Add(4 * time.Second), End: now.Add(9 * time.Second)}
 	}
-	ctl.do(evSubmit{spec: spec("b", "r1", 4), out: make(chan batch.Verdict, 1)}, evGot{from: "a", msg: mesh.Submit{Spec: spec("a", "r2", 3)}})
+	ctl.do(evSubmit{spec: spec("b", "r1", 4), out: make(chan sched.Decision, 1)}, evGot{from: "a", msg: mesh.Submit{Spec: spec("a", "r2", 3)}})
 	ctl.states(ctl.clk.Now())
 	ctl.states(ctl.clk.Now())
 	states := linesOf(t, ctl, &out, "pool-state")
@@ -342,7 +342,7 @@
 
 // handed returns a control whose request r1 is at peer a, with a result at a
 // stage server, and the request's verdicts.
-func handed(t *testing.T) (*Control, *fakeLinks, chan batch.Verdict) {
+func handed(t *testing.T) (*Control, *fakeLinks, chan sched.Decision) {
 	t.Helper()
 	ctl, lnk := newControl(t)
 	known(ctl)
@@ -352,18 +352,18 @@
 	ctl.do(evLinked{mem: member.Member{Address: "c", Zone: "z", Born: 2, Share: 400}}, evGot{from: "c", msg: mesh.Beat{Beat: member.Beat{Ready: true}}})
 	ctl.duties(ctl.clk.Now())
 	require.Equal(t, "a", ctl.deskAt)
-	out := make(chan batch.Verdict, 1)
+	out := make(chan sched.Decision, 1)
 	now := ctl.clk.Now()
-	ctl.do(evSubmit{out: out, spec: batch.Spec{
-		Key: batch.Key{Owner: "b", ID: "r1"}, Service: "m", Prompt: 10, Stages: []table.Stage{{Service: "st", Size: 10}}, Pieces: []int{2},
+	ctl.do(evSubmit{out: out, spec: sched.Spec{
+		Key: sched.Key{Owner: "b", ID: "r1"}, Service: "m", Prompt: 10, Stages: []table.Stage{{Service: "st", Size: 10}}, Pieces: []int{2},
 		Arrived: now, Aim: now.Add(time.Second), Give: now.Add(4 * time.Second), End: now.Add(9 * time.Second),
 	}})
 	ctl.do(evGot{from: "a", msg: mesh.Held{Held: word(ctl, 1, "h0")}})
 	return ctl, lnk, out
 }
 
-func word(ctl *Control, attempt uint64, handle string) batch.Held {
-	return batch.Held{Key: batch.Key{Owner: "b", ID: "r1"}, Attempt: attempt, Server: "s", Pieces: []int{0}, Handles: []string{handle}, Expires: ctl.clk.Now().Add(3 * time.Second)}
+func word(ctl *Control, attempt uint64, handle string) sched.Held {
+	return sched.Held{Key: sched.Key{Owner: "b", ID: "r1"}, Attempt: attempt, Server: "s", Pieces: []int{0}, Handles: []string{handle}, Expires: ctl.clk.Now().Add(3 * time.Second)}
 }
 
 // The forming instance is killed when a result of a request lies at a server.
@@ -409,7 +409,7 @@
 	ctl, _, _ := handed(t)
 	old := ctl.waiters["r1"].spec
 	old.Held = nil
-	ctl.do(evWithdraw{id: "r1"}, evSubmit{spec: old, out: make(chan batch.Verdict, 1)})
+	ctl.do(evWithdraw{id: "r1"}, evSubmit{spec: old, out: make(chan sched.Decision, 1)})
 	ctl.do(evGot{from: "a", msg: mesh.Held{Held: word(ctl, 1, "h1")}})
 	require.Empty(t, ctl.waiters["r1"].spec.Held)
 	require.Equal(t, map[string][]string{"s:1": {"h1"}}, ctl.frees)
@@ -419,7 +419,7 @@
 // lost: the results are given up from here, and not handed on.
 func TestResultsAreGivenUpAtTheFirstEvent(t *testing.T) {
 	ctl, lnk, _ := handed(t)
-	ctl.do(evGot{from: "a", msg: mesh.Verdict{Verdict: batch.Verdict{Key: batch.Key{Owner: "b", ID: "r1"}, Word: batch.Placed, Server: engine("e", 4).Entry}}})
+	ctl.do(evGot{from: "a", msg: mesh.Decision{Decision: sched.Decision{Key: sched.Key{Owner: "b", ID: "r1"}, Outcome: sched.Placed, Server: engine("e", 4).Entry}}})
 	lnk.down["a"] = true
 	ctl.do(evBegan{id: "r1"})
 	require.Equal(t, map[string][]string{"s:1": {"h0"}}, ctl.frees)
@@ -432,7 +432,7 @@
 func TestRetriesKeepResults(t *testing.T) {
 	for _, gone := range []bool{false, true} {
 		ctl, lnk, out := handed(t)
-		ctl.do(evGot{from: "a", msg: mesh.Verdict{Verdict: batch.Verdict{Key: batch.Key{Owner: "b", ID: "r1"}, Word: batch.Placed, Server: engine("e", 4).Entry}}})
+		ctl.do(evGot{from: "a", msg: mesh.Decision{Decision: sched.Decision{Key: sched.Key{Owner: "b", ID: "r1"}, Outcome: sched.Placed, Server: engine("e", 4).Entry}}})
 		<-out
 		lnk.down["a"] = true
 		ctl.do(evUnlinked{address: "a"})
@@ -453,11 +453,11 @@
 	ctl, lnk := newControl(t)
 	known(ctl)
 	now := ctl.clk.Now()
-	out := make(chan batch.Verdict, 1)
-	ctl.waiters["r1"] = &waiter{out: out, desk: "b", spec: batch.Spec{Key: batch.Key{Owner: "b", ID: "r1"}, Service: "m", Prompt: 10, Arrived: now, Aim: now.Add(time.Second), Give: now.Add(4 * time.Second), End: now.Add(9 * time.Second)}}
+	out := make(chan sched.Decision, 1)
+	ctl.waiters["r1"] = &waiter{out: out, desk: "b", spec: sched.Spec{Key: sched.Key{Owner: "b", ID: "r1"}, Service: "m", Prompt: 10, Arrived: now, Aim: now.Add(time.Second), Give: now.Add(4 * time.Second), End: now.Add(9 * time.Second)}}
 	ctl.woke(now, 2*time.Second)
 	ctl.duties(ctl.clk.Now())
-	require.Equal(t, batch.Placed, (<-out).Word)
+	require.Equal(t, sched.Placed, (<-out).Outcome)
 	require.Empty(t, lnk.sent["a"])
 }
 
@@ -571,18 +571,18 @@
 		ctl.heard(now, name, member.Beat{Ready: true, Fresh: 0})
 	}
 	require.Equal(t, "a", ctl.deskAt, "with the first beat that says it is ready")
-	out := make(chan batch.Verdict, 1)
-	ctl.do(evSubmit{spec: batch.Spec{Key: key("b", "r1"), Service: "m", End: now.Add(time.Minute), Give: now.Add(time.Minute)}, out: out})
+	out := make(chan sched.Decision, 1)
+	ctl.do(evSubmit{spec: sched.Spec{Key: key("b", "r1"), Service: "m", End: now.Add(time.Minute), Give: now.Add(time.Minute)}, out: out})
 	require.Len(t, of[mesh.Submit](lnk, "a"), 1)
 	ctl.heard(now, "a", member.Beat{Ready: true, Leaving: true})
 	require.Equal(t, "c", ctl.deskAt)
-	ctl.do(evGot{from: "a", msg: mesh.Verdict{Verdict: batch.Verdict{Key: key("b", "r1"), Word: batch.Moved, Server: stock.Entry{Address: "c"}}}})
+	ctl.do(evGot{from: "a", msg: mesh.Decision{Decision: sched.Decision{Key: key("b", "r1"), Outcome: sched.Moved, Server: stock.Entry{Address: "c"}}}})
 	require.Len(t, of[mesh.Submit](lnk, "c"), 1)
-	ctl.do(evGot{from: "c", msg: mesh.Verdict{Verdict: batch.Verdict{Key: key("b", "r1"), Word: batch.Placed, Server: stock.Entry{ID: "e"}}}})
-	require.Equal(t, batch.Placed, (<-out).Word)
-	ctl.do(evGot{from: "c", msg: mesh.Verdict{Verdict: batch.Verdict{Key: key("b", "r1"), Word: batch.Moved, Server: stock.Entry{Address: "a"}}}})
+	ctl.do(evGot{from: "c", msg: mesh.Decision{Decision: sched.Decision{Key: key("b", "r1"), Outcome: sched.Placed, Server: stock.Entry{ID: "e"}}}})
+	require.Equal(t, sched.Placed, (<-out).Outcome)
+	ctl.do(evGot{from: "c", msg: mesh.Decision{Decision: sched.Decision{Key: key("b", "r1"), Outcome: sched.Moved, Server: stock.Entry{Address: "a"}}}})
 	require.Len(t, of[mesh.Adopt](lnk, "a"), 1, "its engine goes on")
-	ctl.do(evGot{from: "c", msg: mesh.Verdict{Verdict: batch.Verdict{Key: key("b", "r1"), Word: batch.Moved, Server: stock.Entry{Address: "c"}}}})
+	ctl.do(evGot{from: "c", msg: mesh.Decision{Decision: sched.Decision{Key: key("b", "r1"), Outcome: sched.Moved, Server: stock.Entry{Address: "c"}}}})
 	require.Len(t, of[mesh.Submit](lnk, "c"), 1, "c has it no longer")
 }
 
@@ -591,7 +591,7 @@
 	ctl, lnk := newControl(t)
 	known(ctl)
 	now := ctl.clk.Now()
-	ctl.do(evSubmit{spec: batch.Spec{Key: key("b", "r1"), Service: "m", End: now.Add(time.Minute), Give: now.Add(time.Minute)}, out: make(chan batch.Verdict, 1)})
+	ctl.do(evSubmit{spec: sched.Spec{Key: key("b", "r1"), Service: "m", End: now.Add(time.Minute), Give: now.Add(time.Minute)}, out: make(chan sched.Decision, 1)})
 	require.Equal(t, 1, ctl.desk.Jobs())
 	ctl.do(evLinked{mem: member.Member{Address: "a", Zone: "z", Born: 1, Share: 400}})
 	ctl.heard(ctl.clk.Now().Add(time.Millisecond), "a", member.Beat{Ready: true, Fresh: 0})
--- a/io/edge/duties.go
+++ b/io/edge/duties.go
@@ -7,14 +7,14 @@
 
 	"golang.org/x/sys/unix"
 
-	"lovagestream/core/batch"
 	"lovagestream/core/member"
+	"lovagestream/core/sched"
 	"lovagestream/io/follow"
 	"lovagestream/io/lines"
 	"lovagestream/io/mesh"
 )
 
-func key(owner, id string) batch.Key { return batch.Key{Owner: owner, ID: id} }
+func key(owner, id string) sched.Key { return sched.Key{Owner: owner, ID: id} }
 
 // bootTime counts on while the machine is suspended, unlike the steady clock.
 func bootTime() time.Duration {
@@ -65,7 +65,7 @@
 	for _, sta := range ctl.desk.States(now) {
 		ctl.jou.Note("pool-state", lines.Fields{
 			"service": sta.Service, "listed": listed[sta.Service], "servers": sta.Servers, "busy": sta.Busy, "waiting": sta.Waiting, "in-time": sta.InTime,
-			"asked": ctl.asked[sta.Service], "calls": sta.Calls, "pieces": sta.Pieces, "room": int(100 * sta.Room), "no-room": sta.NoRoom,
+			"asked": ctl.asked[sta.Service], "calls": sta.Calls, "pieces": sta.Pieces, "room": int(100 * sta.Room), "no-room": sta.OutOfMemory,
 			"slow": math.Round(100*sta.Slow) / 100, "jobs": ctl.desk.Jobs(),
 		})
 	}
@@ -241,7 +241,7 @@
 		}
 	}
 	ctl.dark = dark
-	ctl.desk.Doubt(now, dark)
+	ctl.desk.Suspect(now, dark)
 }
 
 // repeatPart is what the forming instance takes of the fixed number of repeats;
--- a/io/edge/events.go
+++ b/io/edge/events.go
@@ -197,8 +197,8 @@
 		ctl.desk.Began(now, key(evt.from, msg.ID))
 	case mesh.Ended:
 		ctl.desk.Ended(now, key(evt.from, msg.ID), msg.Outcome)
-	case mesh.Verdict:
-		ctl.verdict(evt.from, msg.Verdict)
+	case mesh.Decision:
+		ctl.verdict(evt.from, msg.Decision)
 	case mesh.Held:
 		ctl.held(now, evt.from, msg.Held)
 	case mesh.Limits:
--- a/io/edge/handover.go
+++ b/io/edge/handover.go
@@ -3,21 +3,21 @@
 import (
 	"time"
 
-	"lovagestream/core/batch"
 	"lovagestream/core/place"
+	"lovagestream/core/sched"
 	"lovagestream/io/lines"
 	"lovagestream/io/mesh"
 )
 
 type evSubmit struct {
-	spec batch.Spec
-	out  chan batch.Verdict
+	spec sched.Spec
+	out  chan sched.Decision
 }
 
 func (evt evSubmit) apply(ctl *Control, now time.Time) {
 	id := evt.spec.Key.ID
 	if old := ctl.waiters[id]; old != nil {
-		evt.out <- batch.Verdict{Key: evt.spec.Key, Word: batch.Dropped, Reason: "id-in-use"}
+		evt.out <- sched.Decision{Key: evt.spec.Key, Outcome: sched.Dropped, Reason: "id-in-use"}
 		return
 	}
 	ctl.attempts++
@@ -51,7 +51,7 @@
 }
 
 // submit takes a request in at this instance, which forms its calls.
-func (ctl *Control) submit(now time.Time, spc batch.Spec) {
+func (ctl *Control) submit(now time.Time, spc sched.Spec) {
 	for num, stg := range spc.Stages {
 		if num < len(spc.Pieces) {
 			ctl.asked[stg.Service] += spc.Pieces[num]
@@ -90,7 +90,7 @@
 }
 
 // giveUp gives results up at their makers.
-func (ctl *Control) giveUp(list []batch.Held) {
+func (ctl *Control) giveUp(list []sched.Held) {
 	for _, hld := range list {
 		for _, ent := range ctl.book.Live() {
 			if ent.ID == hld.Server {
@@ -103,15 +103,15 @@
 // held takes a word in on what was made for a request of this instance. An
 // attempt that is over has no use for it. A request that was handed on meanwhile
 // has its pieces made elsewhere; who made these gives them up if it lives.
-func (ctl *Control) held(now time.Time, from string, hld batch.Held) {
+func (ctl *Control) held(now time.Time, from string, hld sched.Held) {
 	wai := ctl.waiters[hld.Key.ID]
 	switch {
 	case wai == nil || wai.spec.Attempt != hld.Attempt:
-		ctl.giveUp([]batch.Held{hld})
+		ctl.giveUp([]sched.Held{hld})
 	case wai.desk == from:
 		wai.spec.Keep(hld)
 	case !ctl.mem.Live(now, from):
-		ctl.giveUp([]batch.Held{hld})
+		ctl.giveUp([]sched.Held{hld})
 	}
 }
 
@@ -148,16 +148,16 @@
 }
 
 type evRetry struct {
-	spec       batch.Spec
+	spec       sched.Spec
 	how        place.Outcome
 	inputsGone bool
-	out        chan batch.Verdict
+	out        chan sched.Decision
 }
 
 func (evt evRetry) apply(ctl *Control, now time.Time) {
 	wai := ctl.waiters[evt.spec.Key.ID]
 	if wai == nil {
-		evt.out <- batch.Verdict{Key: evt.spec.Key, Word: batch.Dropped, Reason: "not-known-any-more"}
+		evt.out <- sched.Decision{Key: evt.spec.Key, Outcome: sched.Dropped, Reason: "not-known-any-more"}
 		return
 	}
 	evt.spec.Attempt = wai.spec.Attempt
@@ -173,7 +173,7 @@
 }
 
 // retry goes on with a job's results, or begins anew where it isn't known.
-func (ctl *Control) retry(now time.Time, spc batch.Spec, how place.Outcome, inputsGone bool) {
+func (ctl *Control) retry(now time.Time, spc sched.Spec, how place.Outcome, inputsGone bool) {
 	if !ctl.desk.Retry(now, spc.Key, how, inputsGone) {
 		ctl.submit(now, spc)
 	}
@@ -182,27 +182,27 @@
 // verdict brings a verdict to the request. A request that was handed to another
 // instance meanwhile takes a place wherever it comes from; the other instance
 // is told that it need not go on.
-func (ctl *Control) verdict(from string, ver batch.Verdict) {
+func (ctl *Control) verdict(from string, ver sched.Decision) {
 	now := ctl.clk.Now()
 	wai := ctl.waiters[ver.Key.ID]
 	switch {
-	case ver.Word == batch.Moved:
+	case ver.Outcome == sched.Moved:
 		if wai != nil && wai.desk == from {
 			ctl.moved(now, wai, ver.Server.Address)
 		}
 		return
 	case wai == nil || wai.placed:
-		if ver.Word == batch.Placed && (wai == nil || wai.desk != from) {
+		if ver.Outcome == sched.Placed && (wai == nil || wai.desk != from) {
 			ctl.unwanted(now, from, ver)
 		}
 		return
-	case wai.desk != from && ver.Word != batch.Placed:
+	case wai.desk != from && ver.Outcome != sched.Placed:
 		return
 	case wai.desk != from:
 		ctl.withdraw(now, wai)
 		wai.desk = from
 	}
-	if ver.Word == batch.Placed {
+	if ver.Outcome == sched.Placed {
 		wai.placed = true
 		wai.engine = ver.Server.ID
 	} else {
@@ -216,7 +216,7 @@
 	if ctl.movedAt.IsZero() || ctl.desk.Jobs() == 0 {
 		return
 	}
-	if num := ctl.desk.HandOff(now, ctl.movedAt, ctl.deskAt); num > 0 {
+	if num := ctl.desk.Transfer(now, ctl.movedAt, ctl.deskAt); num > 0 {
 		ctl.jou.Note("jobs-handed-off", lines.Fields{"count": num, "to": ctl.deskAt, "left": ctl.desk.Jobs()})
 	}
 }
@@ -240,7 +240,7 @@
 }
 
 // unwanted gives a place back that nobody waits for.
-func (ctl *Control) unwanted(now time.Time, from string, ver batch.Verdict) {
+func (ctl *Control) unwanted(now time.Time, from string, ver sched.Decision) {
 	if from == ctl.set.Told {
 		ctl.desk.Cancel(now, ver.Key)
 		return
--- a/io/edge/pause_test.go
+++ b/io/edge/pause_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"lovagestream/core/batch"
+	"lovagestream/core/sched"
 )
 
 // TestOwnWaitingRequestOutlivesAPause:
@@ -21,15 +21,15 @@
 	known(ctl)
 	ctl.duties(ctl.clk.Now())
 	require.Equal(t, "b", ctl.deskAt)
-	spec := func(id string) batch.Spec {
+	spec := func(id string) sched.Spec {
 		now := ctl.clk.Now()
-		return batch.Spec{Key: batch.Key{Owner: "b", ID: id}, Service: "m", Prompt: 10, Output: 10, Arrived: now, Aim: now.Add(20 * time.Second), Give: now.Add(30 * time.Second), End: now.Add(30 * time.Second)}
+		return sched.Spec{Key: sched.Key{Owner: "b", ID: id}, Service: "m", Prompt: 10, Output: 10, Arrived: now, Aim: now.Add(20 * time.Second), Give: now.Add(30 * time.Second), End: now.Add(30 * time.Second)}
 	}
-	outs := map[string]chan batch.Verdict{}
+	outs := map[string]chan sched.Decision{}
 	waits := ""
 	for num := 0; num < 20 && waits == ""; num++ {
 		id := strconv.Itoa(num)
-		outs[id] = make(chan batch.Verdict, 1)
+		outs[id] = make(chan sched.Decision, 1)
 		ctl.do(evSubmit{spec: spec(id), out: outs[id]})
 		if len(outs[id]) == 0 {
 			waits = id
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -16,9 +16,9 @@
 	"github.com/pkg/errors"
 	"go.opentelemetry.io/otel/attribute"
 
-	"lovagestream/core/batch"
 	"lovagestream/core/call"
 	"lovagestream/core/marks"
+	"lovagestream/core/sched"
 	"lovagestream/core/table"
 	"lovagestream/io/clock"
 	"lovagestream/io/conns"
@@ -387,9 +387,9 @@
 }
 
 // spec describes the request to who forms the calls.
-func (vis *visit) spec() batch.Spec {
-	spc := batch.Spec{
-		Key: batch.Key{Owner: vis.srv.name, ID: vis.req.ID}, Zone: vis.srv.zone, Service: vis.service, Stages: vis.rou.Stages,
+func (vis *visit) spec() sched.Spec {
+	spc := sched.Spec{
+		Key: sched.Key{Owner: vis.srv.name, ID: vis.req.ID}, Zone: vis.srv.zone, Service: vis.service, Stages: vis.rou.Stages,
 		Pieces: vis.req.Pieces, PieceKey: vis.req.PieceKey, Parts: vis.req.Parts, Prompt: vis.req.Prompt, Output: vis.req.Output,
 		Priority: vis.priority, Urgency: vis.rou.Priority, Print: uint64(vis.pri), Arrived: vis.arrived, Aim: vis.aim, Give: vis.give, End: vis.end,
 	}
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -16,10 +16,10 @@
 
 	"github.com/stretchr/testify/require"
 
-	"lovagestream/core/batch"
 	"lovagestream/core/call"
 	"lovagestream/core/marks"
 	"lovagestream/core/place"
+	"lovagestream/core/sched"
 	"lovagestream/core/stock"
 	"lovagestream/core/table"
 	"lovagestream/io/clock"
@@ -78,18 +78,18 @@
 
 func (ctl *testControl) View() *entry.View { return ctl.viw.Load() }
 
-func (ctl *testControl) Submit(spc batch.Spec) <-chan batch.Verdict {
-	out := make(chan batch.Verdict, 1)
+func (ctl *testControl) Submit(spc sched.Spec) <-chan sched.Decision {
+	out := make(chan sched.Decision, 1)
 	num := int(ctl.placed.Add(1)) - 1
 	if num >= len(ctl.engines) {
-		out <- batch.Verdict{Key: spc.Key, Word: batch.Refused, Reason: "none-left", After: time.Second}
+		out <- sched.Decision{Key: spc.Key, Outcome: sched.Refused, Reason: "none-left", After: time.Second}
 		return out
 	}
-	out <- batch.Verdict{Key: spc.Key, Word: batch.Placed, Server: ctl.engines[num]}
+	out <- sched.Decision{Key: spc.Key, Outcome: sched.Placed, Server: ctl.engines[num]}
 	return out
 }
 
-func (ctl *testControl) Retry(spc batch.Spec, how place.Outcome, _ bool) <-chan batch.Verdict {
+func (ctl *testControl) Retry(spc sched.Spec, how place.Outcome, _ bool) <-chan sched.Decision {
 	ctl.Ended(spc.Key.ID, how)
 	return ctl.Submit(spc)
 }
--- a/io/entry/generate.go
+++ b/io/entry/generate.go
@@ -9,8 +9,8 @@
 
 	"github.com/pkg/errors"
 
-	"lovagestream/core/batch"
 	"lovagestream/core/place"
+	"lovagestream/core/sched"
 	"lovagestream/core/stock"
 	"lovagestream/io/conns"
 	"lovagestream/io/lines"
@@ -38,7 +38,7 @@
 			break
 		}
 		vis.noteVerdict(ver)
-		if ver.Word != batch.Placed {
+		if ver.Outcome != sched.Placed {
 			vis.unplaced(stm, ver)
 			return
 		}
@@ -63,9 +63,9 @@
 
 // noteVerdict writes what was decided, and on what it rested; times are in
 // milliseconds.
-func (vis *visit) noteVerdict(ver batch.Verdict) {
-	fie := lines.Fields{"id": vis.req.ID, "word": ver.Word.String(), "waited": vis.srv.clk.Now().Sub(vis.arrived).Milliseconds()}
-	if ver.Word == batch.Placed {
+func (vis *visit) noteVerdict(ver sched.Decision) {
+	fie := lines.Fields{"id": vis.req.ID, "word": ver.Outcome.String(), "waited": vis.srv.clk.Now().Sub(vis.arrived).Milliseconds()}
+	if ver.Outcome == sched.Placed {
 		fie["server"] = ver.Server.ID
 		fie["inputs"] = len(ver.Inputs)
 	} else {
@@ -87,22 +87,22 @@
 const inputGone = "input-gone"
 
 // await waits for a verdict.
-func (vis *visit) await(ctx context.Context, verdict <-chan batch.Verdict) (batch.Verdict, bool) {
+func (vis *visit) await(ctx context.Context, verdict <-chan sched.Decision) (sched.Decision, bool) {
 	select {
 	case ver := <-verdict:
 		return ver, true
 	case <-ctx.Done():
 		vis.srv.ctl.Withdraw(vis.req.ID)
-		return batch.Verdict{}, false
+		return sched.Decision{}, false
 	}
 }
 
 // unplaced answers a request that gets no engine.
-func (vis *visit) unplaced(stm *stream, ver batch.Verdict) {
+func (vis *visit) unplaced(stm *stream, ver sched.Decision) {
 	switch {
 	case stm.begun:
 		vis.cut("no-engine-to-resume,"+ver.Reason, nil)
-	case ver.Word == batch.Refused && vis.sent == 0:
+	case ver.Outcome == sched.Refused && vis.sent == 0:
 		vis.refuse(ver.Reason, ver.After)
 	default:
 		vis.fail(http.StatusGatewayTimeout, ver.Reason, nil)
--- a/io/entry/paced.go
+++ b/io/entry/paced.go
@@ -5,9 +5,9 @@
 	"maps"
 	"slices"
 
-	"lovagestream/core/batch"
 	"lovagestream/core/pick"
 	"lovagestream/core/place"
+	"lovagestream/core/sched"
 	"lovagestream/core/stock"
 )
 
@@ -33,7 +33,7 @@
 		return stock.Entry{}, outcome{reason: "no-verdict"}, false
 	}
 	vis.noteVerdict(ver)
-	if ver.Word != batch.Placed {
+	if ver.Outcome != sched.Placed {
 		return stock.Entry{}, outcome{reason: ver.Reason, after: ver.After}, false
 	}
 	if vis.srv.ctl.View().Left[ver.Server.ID] {
--- a/io/entry/plain.go
+++ b/io/entry/plain.go
@@ -10,9 +10,9 @@
 
 	"github.com/pkg/errors"
 
-	"lovagestream/core/batch"
 	"lovagestream/core/call"
 	"lovagestream/core/pick"
+	"lovagestream/core/sched"
 	"lovagestream/core/stock"
 	"lovagestream/io/conns"
 	"lovagestream/io/lines"
@@ -22,7 +22,7 @@
 type plain struct {
 	mu      sync.Mutex
 	pools   map[string]*pick.Pool
-	repeats *batch.Repeats
+	repeats *sched.RetryBudget
 	limits  RepeatLimits
 }
 
@@ -48,7 +48,7 @@
 	defer pln.mu.Unlock()
 	if pln.repeats == nil || pln.limits != viw.Repeats {
 		pln.limits = viw.Repeats
-		pln.repeats = batch.NewRepeats(viw.Repeats.Ratio, viw.Repeats.Slack, viw.Repeats.Window)
+		pln.repeats = sched.NewRetryBudget(viw.Repeats.Ratio, viw.Repeats.Slack, viw.Repeats.Window)
 	}
 	pln.repeats.SetPart(1 / float64(max(1, viw.Known)))
 	pln.repeats.Count(now, service, again)
--- a/io/entry/view.go
+++ b/io/entry/view.go
@@ -3,10 +3,10 @@
 import (
 	"time"
 
-	"lovagestream/core/batch"
 	"lovagestream/core/call"
 	"lovagestream/core/marks"
 	"lovagestream/core/place"
+	"lovagestream/core/sched"
 	"lovagestream/core/stock"
 	"lovagestream/core/table"
 )
@@ -68,10 +68,10 @@
 type Control interface {
 	View() *View
 	// Submit hands a request over; the verdict comes through the channel, once.
-	Submit(spc batch.Spec) <-chan batch.Verdict
+	Submit(spc sched.Spec) <-chan sched.Decision
 	// Retry tells that the request's run ended without an answer, and asks for
 	// another engine; inputsGone is an engine's word that an input is gone.
-	Retry(spc batch.Spec, how place.Outcome, inputsGone bool) <-chan batch.Verdict
+	Retry(spc sched.Spec, how place.Outcome, inputsGone bool) <-chan sched.Decision
 	// Withdraw ends a request that has no verdict yet, or no run.
 	Withdraw(id string)
 	Began(id string)
--- a/io/mesh/mesh_test.go
+++ b/io/mesh/mesh_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"lovagestream/core/batch"
 	"lovagestream/core/member"
+	"lovagestream/core/sched"
 	"lovagestream/core/stock"
 	"lovagestream/io/clock"
 	"lovagestream/io/group"
@@ -79,7 +79,7 @@
 	require.LessOrEqual(t, lnk.held.Load(), int64(linkBytes))
 	require.EqualValues(t, 1000-sent, hub.Dropped())
 	require.NoError(t, ctx.Err())
-	require.True(t, hub.Send("b", Submit{Spec: batch.Spec{Key: batch.Key{ID: "r"}}}))
+	require.True(t, hub.Send("b", Submit{Spec: sched.Spec{Key: sched.Key{ID: "r"}}}))
 	require.False(t, hub.Send("b", words(200)))
 }
 
@@ -103,7 +103,7 @@
 // ends take the other for lost and hand them elsewhere.
 func TestRequestsBeyondTheBoundCutTheLink(t *testing.T) {
 	hub, lnk, ctx := stuck(t)
-	spc := batch.Spec{Key: batch.Key{ID: strings.Repeat("r", 2000)}}
+	spc := sched.Spec{Key: sched.Key{ID: strings.Repeat("r", 2000)}}
 	for range 1000 {
 		hub.Send("b", Submit{Spec: spc})
 	}
--- a/io/mesh/message.go
+++ b/io/mesh/message.go
@@ -6,11 +6,11 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"lovagestream/core/batch"
 	"lovagestream/core/call"
 	"lovagestream/core/member"
 	"lovagestream/core/place"
 	"lovagestream/core/rates"
+	"lovagestream/core/sched"
 	"lovagestream/core/stock"
 	"lovagestream/core/sums"
 	"lovagestream/core/table"
@@ -61,10 +61,10 @@
 	// AskServers asks for words on servers where the sender's sums differ.
 	AskServers struct{ Sums []uint64 }
 	// Submit hands a request over.
-	Submit struct{ Spec batch.Spec }
+	Submit struct{ Spec sched.Spec }
 	// Adopt tells of a request that runs.
 	Adopt struct {
-		Spec   batch.Spec
+		Spec   sched.Spec
 		Engine string
 	}
 	// Withdraw ends a request whose caller left.
@@ -79,19 +79,19 @@
 	// Retry tells that a run ended without an answer and asks for another
 	// engine.
 	Retry struct {
-		Spec       batch.Spec
+		Spec       sched.Spec
 		Outcome    place.Outcome
 		InputsGone bool
 	}
-	// Verdict answers Submit.
-	Verdict struct{ batch.Verdict }
+	// Decision answers Submit.
+	Decision struct{ sched.Decision }
 	// Crash tells of a server lost with a request on it.
 	Crash struct {
 		Request uint64
 		Server  string
 	}
 	// Held tells which results lie where for a request of the receiver.
-	Held struct{ batch.Held }
+	Held struct{ sched.Held }
 	// Limits tells what servers said of the rates that they take.
 	Limits struct{ List []rates.Word }
 )
@@ -111,7 +111,7 @@
 	_ Message = Began{}
 	_ Message = Ended{}
 	_ Message = Retry{}
-	_ Message = Verdict{}
+	_ Message = Decision{}
 	_ Message = Crash{}
 	_ Message = Held{}
 	_ Message = Limits{}
@@ -256,7 +256,7 @@
 	return &wire.Envelope{Body: &wire.Envelope_Adopt{Adopt: &wire.Adopt{Job: fromSpec(now, &msg.Spec), Engine: msg.Engine}}}
 }
 
-func fromSpec(now time.Time, spc *batch.Spec) *wire.Submit {
+func fromSpec(now time.Time, spc *sched.Spec) *wire.Submit {
 	out := &wire.Submit{
 		Id: spc.Key.ID, Service: spc.Service, PieceKey: spc.PieceKey, Prompt: int32(spc.Prompt), Output: int32(spc.Output),
 		Priority: int32(spc.Priority), Urgency: int32(spc.Urgency), Print: spc.Print, Account: spc.Account, Avoid: spc.Avoid, Again: spc.Again, Zone: spc.Zone, Attempt: spc.Attempt,
@@ -279,24 +279,24 @@
 	return out
 }
 
-func fromHeld(now time.Time, hld *batch.Held) *wire.Held {
+func fromHeld(now time.Time, hld *sched.Held) *wire.Held {
 	return &wire.Held{
 		Id: hld.Key.ID, Attempt: hld.Attempt, Stage: int32(hld.Stage), Server: hld.Server,
 		Pieces: toInt32(hld.Pieces), Handles: hld.Handles, Left: hld.Expires.Sub(now).Microseconds(),
 	}
 }
 
-func toHeld(now time.Time, key batch.Key, attempt uint64, hld *wire.Held) batch.Held {
-	return batch.Held{
+func toHeld(now time.Time, key sched.Key, attempt uint64, hld *wire.Held) sched.Held {
+	return sched.Held{
 		Key: key, Attempt: attempt, Stage: int(hld.GetStage()), Server: hld.GetServer(),
 		Pieces: fromInt32(hld.GetPieces()), Handles: hld.GetHandles(), Expires: now.Add(time.Duration(hld.GetLeft()) * time.Microsecond),
 	}
 }
 
-func toSpec(now time.Time, owner string, sub *wire.Submit) batch.Spec {
+func toSpec(now time.Time, owner string, sub *wire.Submit) sched.Spec {
 	at := func(mic int64) time.Time { return now.Add(time.Duration(mic) * time.Microsecond) }
-	spc := batch.Spec{
-		Key: batch.Key{Owner: owner, ID: sub.GetId()}, Zone: sub.GetZone(), Service: sub.GetService(), PieceKey: sub.GetPieceKey(),
+	spc := sched.Spec{
+		Key: sched.Key{Owner: owner, ID: sub.GetId()}, Zone: sub.GetZone(), Service: sub.GetService(), PieceKey: sub.GetPieceKey(),
 		Prompt: int(sub.GetPrompt()), Output: int(sub.GetOutput()), Priority: int(sub.GetPriority()), Urgency: int(sub.GetUrgency()), Print: sub.GetPrint(), Account: sub.GetAccount(),
 		Arrived: at(sub.GetArrived()), Aim: at(sub.GetAim()), Give: at(sub.GetGive()), End: at(sub.GetEnd()),
 		Avoid: sub.GetAvoid(), Again: sub.GetAgain(), Attempt: sub.GetAttempt(), Pieces: fromInt32(sub.GetPieces()),
@@ -347,9 +347,9 @@
 	}}}
 }
 
-func (msg Verdict) encode(time.Time) *wire.Envelope {
+func (msg Decision) encode(time.Time) *wire.Envelope {
 	return &wire.Envelope{Body: &wire.Envelope_Verdict{Verdict: &wire.Verdict{
-		Id: msg.Key.ID, Word: uint32(msg.Word), Reason: msg.Reason, After: msg.After.Microseconds(),
+		Id: msg.Key.ID, Word: uint32(msg.Outcome), Reason: msg.Reason, After: msg.After.Microseconds(),
 		Server: fromServer(stock.Known{Entry: msg.Server}), Inputs: msg.Inputs,
 		Expected: msg.Expected.Microseconds(), Allowed: msg.Allowed.Microseconds(),
 	}}}
@@ -421,8 +421,8 @@
 		return Retry{Spec: toSpec(now, from, ret.GetJob()), Outcome: place.Outcome(ret.GetOutcome()), InputsGone: ret.GetInputsGone()}
 	case *wire.Envelope_Verdict:
 		ver := bod.Verdict
-		return Verdict{batch.Verdict{
-			Key: batch.Key{Owner: self, ID: ver.GetId()}, Word: batch.Word(ver.GetWord()), Reason: ver.GetReason(),
+		return Decision{sched.Decision{
+			Key: sched.Key{Owner: self, ID: ver.GetId()}, Outcome: sched.Outcome(ver.GetWord()), Reason: ver.GetReason(),
 			After: time.Duration(ver.GetAfter()) * time.Microsecond, Server: toServer(ver.GetServer()).Entry, Inputs: ver.GetInputs(),
 			Expected: time.Duration(ver.GetExpected()) * time.Microsecond, Allowed: time.Duration(ver.GetAllowed()) * time.Microsecond,
 		}}
@@ -431,7 +431,7 @@
 	case *wire.Envelope_Limits:
 		return toLimits(bod.Limits)
 	case *wire.Envelope_Held:
-		return Held{toHeld(now, batch.Key{Owner: self, ID: bod.Held.GetId()}, bod.Held.GetAttempt(), bod.Held)}
+		return Held{toHeld(now, sched.Key{Owner: self, ID: bod.Held.GetId()}, bod.Held.GetAttempt(), bod.Held)}
 	}
 	return nil
 }
--- a/io/mesh/message_test.go
+++ b/io/mesh/message_test.go
@@ -8,7 +8,7 @@
 	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
-	"lovagestream/core/batch"
+	"lovagestream/core/sched"
 	"lovagestream/core/table"
 	"lovagestream/io/mesh/wire"
 )
@@ -23,9 +23,9 @@
 	return decode(now, "self", "peer", env)
 }
 
-func heldRow(now time.Time) batch.Held {
-	return batch.Held{
-		Key: batch.Key{Owner: "self", ID: "e5b2907c14da6f38"}, Attempt: 7, Stage: 1, Server: "i-7f3a91c2", Pieces: []int{0, 3},
+func heldRow(now time.Time) sched.Held {
+	return sched.Held{
+		Key: sched.Key{Owner: "self", ID: "e5b2907c14da6f38"}, Attempt: 7, Stage: 1, Server: "i-7f3a91c2", Pieces: []int{0, 3},
 		Handles: []string{"10.1.64.7:8080/91bd3f06e44", "10.1.64.7:8080/91bd3f06e45"}, Expires: now.Add(3 * time.Second),
 	}
 }
@@ -36,12 +36,12 @@
 	now := time.Unix(1000, 0)
 	hld := heldRow(now)
 	require.Equal(t, Held{hld}, over(t, now, Held{hld}))
-	spc := batch.Spec{
-		Key: batch.Key{Owner: "peer", ID: hld.Key.ID}, Attempt: 7, Stages: []table.Stage{{Service: "a", After: []int{}, Size: 5}}, Pieces: []int{4},
+	spc := sched.Spec{
+		Key: sched.Key{Owner: "peer", ID: hld.Key.ID}, Attempt: 7, Stages: []table.Stage{{Service: "a", After: []int{}, Size: 5}}, Pieces: []int{4},
 		Arrived: now, Aim: now.Add(time.Second), Give: now.Add(2 * time.Second), End: now.Add(3 * time.Second),
 	}
 	hld.Key.Owner = "peer"
-	spc.Held = []batch.Held{hld}
+	spc.Held = []sched.Held{hld}
 	require.Equal(t, Submit{spc}, over(t, now, Submit{spc}))
 	require.Equal(t, Adopt{Spec: spc, Engine: "e"}, over(t, now, Adopt{Spec: spc, Engine: "e"}))
 }
--- a/stand/replay/replay.go
+++ b/stand/replay/replay.go
@@ -1,5 +1,5 @@
 // Package replay plays loads from data files against the decisions of
-// core/batch and core/place on an emulator of stage servers and model engines,
+// core/sched and core/place on an emulator of stage servers and model engines,
 // in emulated time. Each load names the baselines that the product's decisions
 // must beat on it.
 package replay
@@ -17,7 +17,7 @@
 	"github.com/pkg/errors"
 	"gopkg.in/yaml.v3"
 
-	"lovagestream/core/batch"
+	"lovagestream/core/sched"
 )
 
 //go:embed data/*.yaml
@@ -115,20 +115,20 @@
 func (dur duration) d() time.Duration { return time.Duration(dur) }
 
 // Baselines by name.
-var baselines = map[string]batch.Policy{
-	"own-calls":      {},
-	"split-jobs":     {SplitJobs: true},
-	"by-due":         {ByDue: true},
-	"hold-hopeless":  {HoldHopeless: true},
-	"any-zone":       {AnyZone: true},
-	"full-capacity":  {FullCapacity: true},
-	"forget-refused": {ForgetRefused: true},
-	"ask-full":       {AskFull: true, Unhidden: true},
-	"results-untold": {Untold: true},
-	"room-unhidden":  {Unhidden: true},
-	"room-unfading":  {Unfading: true},
-	"jobs-kept":      {},
-	"admit-all":      {AdmitAll: true, HoldHopeless: true},
+var baselines = map[string]sched.Policy{
+	"own-calls":        {},
+	"split-jobs":       {SplitJobs: true},
+	"by-due":           {ByDue: true},
+	"keep-infeasible":  {KeepInfeasible: true},
+	"any-zone":         {AnyZone: true},
+	"full-capacity":    {FullCapacity: true},
+	"forget-refused":   {ForgetRefused: true},
+	"ask-full":         {AskFull: true, IgnoreUntracked: true},
+	"results-untold":   {Untold: true},
+	"ignore-untracked": {IgnoreUntracked: true},
+	"room-unfading":    {Unfading: true},
+	"jobs-kept":        {},
+	"admit-all":        {AdmitAll: true, KeepInfeasible: true},
 }
 
 // Names lists the scenes.
@@ -217,8 +217,8 @@
 	out := *scn
 	out.Events = slices.Clone(scn.Events)
 	for idx := range out.Events {
-		if what := out.Events[idx].What; what == "desk-lost" || what == "desk-killed" {
-			out.Events[idx].What = "desk-kept"
+		if what := out.Events[idx].What; what == "coordinator-lost" || what == "coordinator-killed" {
+			out.Events[idx].What = "coordinator-kept"
 		}
 	}
 	return &out
--- a/stand/replay/replay_test.go
+++ b/stand/replay/replay_test.go
@@ -72,7 +72,7 @@
 // be served but for that part of the time.
 func TestLossOfTheFormingInstanceCostsTwoCalls(t *testing.T) {
 	period := member.NewSet(member.Member{}).Period()
-	noticed := map[string]time.Duration{"desk-lost-in-burst": lostAfter + period, "desk-lost-in-full-house": lostAfter + period, "desk-killed-in-burst": 2 * killedAfter, "desk-killed-in-full-house": 2 * killedAfter}
+	noticed := map[string]time.Duration{"coordinator-lost-in-burst": lostAfter + period, "coordinator-lost-in-full-house": lostAfter + period, "coordinator-killed-in-burst": 2 * killedAfter, "coordinator-killed-in-full-house": 2 * killedAfter}
 	for name, wait := range noticed {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/stand/replay/server.go
+++ b/stand/replay/server.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"lovagestream/core/batch"
 	"lovagestream/core/place"
+	"lovagestream/core/sched"
 	"lovagestream/core/stock"
 )
 
@@ -31,8 +31,8 @@
 }
 
 type atServer struct {
-	des *desk
-	cal batch.Call
+	ins *instance
+	cal sched.Call
 }
 
 func newServer(wld *world, ent stock.Entry, pol Pool) *server {
@@ -40,18 +40,18 @@
 }
 
 // Call brings a call to its server.
-func (des *desk) Call(cal batch.Call) {
-	ser := des.wld.servers[cal.Server.ID]
-	des.wld.after(hop, func() { ser.take(&atServer{des: des, cal: cal}) })
+func (ins *instance) Call(cal sched.Call) {
+	ser := ins.wld.servers[cal.Server.ID]
+	ins.wld.after(hop, func() { ser.take(&atServer{ins: ins, cal: cal}) })
 }
 
 // Cut ends nothing here: a server goes on with what it works on.
-func (*desk) Cut(uint64) {}
+func (*instance) Cut(uint64) {}
 
 // Free gives results up.
-func (des *desk) Free(address string, handles []string) {
-	ser := des.wld.servers[address]
-	des.wld.after(hop, func() {
+func (ins *instance) Free(address string, handles []string) {
+	ser := ins.wld.servers[address]
+	ins.wld.after(hop, func() {
 		for _, han := range handles {
 			ser.drop(han)
 		}
@@ -74,8 +74,8 @@
 
 // forget drops the calls of a lost instance that wait; the one under work goes
 // on, and nobody hears what it makes.
-func (ser *server) forget(des *desk) {
-	ser.queue = slices.DeleteFunc(ser.queue, func(got *atServer) bool { return got.des == des })
+func (ser *server) forget(ins *instance) {
+	ser.queue = slices.DeleteFunc(ser.queue, func(got *atServer) bool { return got.ins == ins })
 }
 
 func (ser *server) take(got *atServer) {
@@ -86,14 +86,14 @@
 	case len(ser.queue) < queueMost:
 		ser.queue = append(ser.queue, got)
 	default:
-		ser.answer(got, nil, batch.Full)
+		ser.answer(got, nil, sched.Full)
 	}
 }
 
-func (ser *server) answer(got *atServer, results []batch.Result, how batch.Ending) {
+func (ser *server) answer(got *atServer, results []sched.Result, how sched.CallStatus) {
 	ser.wld.after(hop, func() {
-		if !got.des.lost {
-			got.des.dsk.CallEnded(ser.wld.now, got.cal.Number, results, how)
+		if !got.ins.lost {
+			got.ins.sch.CallEnded(ser.wld.now, got.cal.Number, results, how)
 		}
 	})
 }
@@ -101,13 +101,13 @@
 func (ser *server) work(got *atServer) {
 	ser.busy = true
 	took := time.Duration(0)
-	results := make([]batch.Result, len(got.cal.Items))
+	results := make([]sched.Result, len(got.cal.Items))
 	var sizes []int64
 	for idx, itm := range got.cal.Items {
 		req := ser.wld.find(itm.ID)
 		stg := req.kind.Stages[itm.Stage]
 		results[idx] = ser.make(itm, stg)
-		if results[idx].Reason == batch.Made {
+		if results[idx].Reason == sched.Made {
 			took += time.Duration(stg.Work * float64(ser.pol.Piece))
 		}
 		sizes = append(sizes, stg.Bytes)
@@ -128,23 +128,23 @@
 }
 
 // make reserves a result's room at the call's turn.
-func (ser *server) make(itm batch.Item, stg Stage) batch.Result {
+func (ser *server) make(itm sched.Item, stg Stage) sched.Result {
 	for _, han := range itm.Inputs {
 		if !ser.wld.exists(han, ser, stg) {
-			return batch.Result{Reason: batch.InputGone}
+			return sched.Result{Reason: sched.InputGone}
 		}
 	}
 	if ser.used+stg.Bytes > ser.pol.Room {
-		return batch.Result{Reason: batch.NoRoom}
+		return sched.Result{Reason: sched.OutOfMemory}
 	}
 	ser.made++
 	han := fmt.Sprintf("%s/%d", ser.ent.ID, ser.made)
 	ser.used += stg.Bytes
 	ser.held[han] = stg.Bytes
-	return batch.Result{Handle: han}
+	return sched.Result{Handle: han}
 }
 
-func (ser *server) ended(got *atServer, results []batch.Result, _ []int64, took time.Duration) {
+func (ser *server) ended(got *atServer, results []sched.Result, _ []int64, took time.Duration) {
 	for idx, itm := range got.cal.Items {
 		req := ser.wld.find(itm.ID)
 		if req.over {
@@ -154,7 +154,7 @@
 			ser.wld.after(ser.pol.Life.d(), func() { ser.drop(han) })
 		}
 	}
-	ser.answer(got, results, batch.Answered)
+	ser.answer(got, results, sched.Answered)
 	ser.busy = false
 	if len(ser.queue) > 0 {
 		nxt := ser.queue[0]
@@ -164,7 +164,7 @@
 }
 
 // find returns the request of an attempt.
-func (wld *world) find(id string) *ask { return wld.byKey[batch.Key{Owner: "me", ID: id}] }
+func (wld *world) find(id string) *ask { return wld.byKey[sched.Key{Owner: "me", ID: id}] }
 
 // exists looks a result up, and counts it if it crosses zones.
 func (wld *world) exists(handle string, to *server, _ Stage) bool {
@@ -221,10 +221,10 @@
 			return
 		}
 		wld.done(req)
-		wld.desks[req.desk].dsk.Began(wld.now, key)
+		wld.instances[req.coordinator].sch.Began(wld.now, key)
 		wld.after(time.Duration(req.kind.Events)*step, func() {
 			req.over = true
-			wld.desks[req.desk].dsk.Ended(wld.now, key, place.Done)
+			wld.instances[req.coordinator].sch.Ended(wld.now, key, place.Done)
 		})
 	})
 }
--- a/stand/replay/world.go
+++ b/stand/replay/world.go
@@ -8,10 +8,10 @@
 	"slices"
 	"time"
 
-	"lovagestream/core/batch"
 	"lovagestream/core/call"
 	"lovagestream/core/member"
 	"lovagestream/core/rates"
+	"lovagestream/core/sched"
 	"lovagestream/core/stock"
 	"lovagestream/core/table"
 )
@@ -34,7 +34,7 @@
 // ask is one request, with all its attempts.
 type ask struct {
 	kind   *Kind
-	spec   batch.Spec
+	spec   sched.Spec
 	came   time.Time
 	tries  int
 	worth  float64
@@ -42,16 +42,16 @@
 	served bool
 	// over is set when the attempt under way has ended.
 	over bool
-	// desk has it; engine is set while it is placed.
-	desk   int
-	engine string
+	// coordinator has it; engine is set while it is placed.
+	coordinator int
+	engine      string
 	// held is how long attempts without an answer were held.
 	held time.Duration
 }
 
 type world struct {
 	scn *Scene
-	ply batch.Policy
+	ply sched.Policy
 	// own lets each instance form calls for its own callers; keep lets it go on
 	// with those that it has once another one forms them.
 	own  bool
@@ -64,12 +64,12 @@
 	tab  *table.Table
 	live []stock.Entry
 
-	desks   []*desk
-	asks    []*ask
-	byKey   map[batch.Key]*ask
-	servers map[string]*server
-	engines map[string]*engine
-	burst   map[string]float64
+	instances []*instance
+	asks      []*ask
+	byKey     map[sched.Key]*ask
+	servers   map[string]*server
+	engines   map[string]*engine
+	burst     map[string]float64
 	// dark is set while no instance runs, alone while so many don't see each other.
 	dark  bool
 	alone int
@@ -80,21 +80,21 @@
 	crossed int64
 }
 
-// desk is a batch.Desk with the emulated network before it.
-type desk struct {
+// instance is a sched.Scheduler with the emulated network before it.
+type instance struct {
 	wld  *world
 	num  int
-	dsk  *batch.Desk
+	sch  *sched.Scheduler
 	lost bool
 	// movedAt is when another one began to form the calls.
 	movedAt time.Time
 }
 
-var _ batch.Out = (*desk)(nil)
+var _ sched.Effects = (*instance)(nil)
 
-func newWorld(scn *Scene, ply batch.Policy, baseline string, seed uint64) *world {
+func newWorld(scn *Scene, ply sched.Policy, baseline string, seed uint64) *world {
 	own := baseline == "own-calls"
-	wld := &world{scn: scn, ply: ply, own: own, keep: baseline == "jobs-kept", rnd: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1000, 0), byKey: map[batch.Key]*ask{}, servers: map[string]*server{}, engines: map[string]*engine{}, burst: map[string]float64{}}
+	wld := &world{scn: scn, ply: ply, own: own, keep: baseline == "jobs-kept", rnd: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1000, 0), byKey: map[sched.Key]*ask{}, servers: map[string]*server{}, engines: map[string]*engine{}, burst: map[string]float64{}}
 	wld.end = wld.now.Add(scn.Length.d())
 	wld.build()
 	num := 1
@@ -141,10 +141,10 @@
 }
 
 func (wld *world) addDesk() {
-	des := &desk{wld: wld, num: len(wld.desks)}
-	des.dsk = batch.New(des, batch.NewRepeats(0.2, 50, 10*time.Second), rates.NewBook()).WithPolicy(wld.ply)
-	des.dsk.Configure(wld.now, wld.tab, wld.live)
-	wld.desks = append(wld.desks, des)
+	ins := &instance{wld: wld, num: len(wld.instances)}
+	ins.sch = sched.New(ins, sched.NewRetryBudget(0.2, 50, 10*time.Second), rates.NewBook()).WithPolicy(wld.ply)
+	ins.sch.Configure(wld.now, wld.tab, wld.live)
+	wld.instances = append(wld.instances, ins)
 }
 
 // after lets something happen later.
@@ -165,14 +165,14 @@
 }
 
 func (wld *world) ticks() {
-	for _, des := range wld.desks {
-		if des.lost || des.dsk.Jobs() == 0 {
+	for _, ins := range wld.instances {
+		if ins.lost || ins.sch.Jobs() == 0 {
 			continue
 		}
-		if !des.movedAt.IsZero() && !wld.keep {
-			des.dsk.HandOff(wld.now, des.movedAt, "")
+		if !ins.movedAt.IsZero() && !wld.keep {
+			ins.sch.Transfer(wld.now, ins.movedAt, "")
 		}
-		des.dsk.Tick(wld.now)
+		ins.sch.Tick(wld.now)
 	}
 	if wld.now.Before(wld.end.Add(15 * time.Second)) {
 		wld.after(tick, wld.ticks)
@@ -196,7 +196,7 @@
 	thing := fmt.Sprintf("%s-%d", knd.Name, wld.rnd.IntN(max(1, knd.Things)))
 	own := max(16, int(float64(knd.Prompt-knd.Shared)*math.Exp(wld.rnd.NormFloat64()*0.6-0.18)))
 	req := &ask{kind: knd, came: wld.now, worth: knd.Worth}
-	req.spec = batch.Spec{
+	req.spec = sched.Spec{
 		Zone: wld.scn.Zones[wld.rnd.IntN(len(wld.scn.Zones))], Service: modelService, Urgency: knd.Urgency, Prompt: knd.Shared + own, Output: 4 * knd.Events,
 		Parts: []call.Part{{ID: thing, Tokens: knd.Shared}, {ID: fmt.Sprintf("own-%d", len(wld.asks)), Tokens: own}},
 	}
@@ -234,48 +234,48 @@
 	req.engine = ""
 	spc := &req.spec
 	spc.Held = nil
-	spc.Key = batch.Key{Owner: "me", ID: id}
+	spc.Key = sched.Key{Owner: "me", ID: id}
 	spc.Arrived, spc.Aim = wld.now, wld.now.Add(req.kind.Aim.d())
 	spc.End = req.came.Add(req.kind.Wait.d())
 	spc.Give = wld.now.Add(max(2*time.Second, 4*req.kind.Aim.d()))
 	if spc.Give.After(spc.End) {
 		spc.Give = spc.End
 	}
-	req.desk = wld.deskOf()
+	req.coordinator = wld.coordinatorOf()
 	wld.byKey[spc.Key] = req
 	wld.hand(req)
 	wld.after(spc.Give.Sub(wld.now), func() { wld.leave(req, id) })
 }
 
-// deskOf is who gets a request that comes now.
-func (wld *world) deskOf() int {
+// coordinatorOf is who gets a request that comes now.
+func (wld *world) coordinatorOf() int {
 	switch {
 	case wld.own:
-		return wld.rnd.IntN(len(wld.desks))
+		return wld.rnd.IntN(len(wld.instances))
 	case wld.alone > 0:
-		return len(wld.desks) - 1 - wld.rnd.IntN(wld.alone)
+		return len(wld.instances) - 1 - wld.rnd.IntN(wld.alone)
 	}
-	return len(wld.desks) - 1
+	return len(wld.instances) - 1
 }
 
 func (wld *world) hand(req *ask) {
-	des := wld.desks[req.desk]
+	ins := wld.instances[req.coordinator]
 	spc := req.spec
 	spc.Held = slices.Clone(spc.Held)
 	wld.after(hop, func() {
 		switch {
-		case des.lost || req.over || req.spec.Key != spc.Key:
+		case ins.lost || req.over || req.spec.Key != spc.Key:
 		case req.engine != "":
-			des.dsk.Adopt(wld.now, spc, req.engine)
+			ins.sch.Adopt(wld.now, spc, req.engine)
 		default:
-			des.dsk.Submit(wld.now, spc)
+			ins.sch.Submit(wld.now, spc)
 		}
 	})
 }
 
 // Keep tells a request's entry instance what was made for it.
-func (des *desk) Keep(hld batch.Held) {
-	wld := des.wld
+func (ins *instance) Keep(hld sched.Held) {
+	wld := ins.wld
 	wld.after(hop, func() {
 		if req := wld.byKey[hld.Key]; req != nil && !req.over && req.spec.Key == hld.Key {
 			req.spec.Keep(hld)
@@ -290,20 +290,20 @@
 	}
 	req.over = true
 	req.held = max(req.held, wld.now.Sub(req.spec.Arrived))
-	wld.desks[req.desk].dsk.Cancel(wld.now, req.spec.Key)
+	wld.instances[req.coordinator].sch.Cancel(wld.now, req.spec.Key)
 }
 
-// Tell brings a verdict to the caller or the engine.
-func (des *desk) Tell(ver batch.Verdict) {
-	wld := des.wld
+// Notify brings a verdict to the caller or the engine.
+func (ins *instance) Notify(ver sched.Decision) {
+	wld := ins.wld
 	req := wld.byKey[ver.Key]
 	wld.after(hop, func() {
 		switch {
-		case req == nil || req.over || req.spec.Key != ver.Key || des.lost:
-		case ver.Word == batch.Moved:
-			req.desk = len(wld.desks) - 1
+		case req == nil || req.over || req.spec.Key != ver.Key || ins.lost:
+		case ver.Outcome == sched.Moved:
+			req.coordinator = len(wld.instances) - 1
 			wld.hand(req)
-		case ver.Word == batch.Placed:
+		case ver.Outcome == sched.Placed:
 			req.engine = ver.Server.ID
 			wld.engines[ver.Server.ID].run(req, ver.Inputs)
 		default:
@@ -313,7 +313,7 @@
 }
 
 // refused lets a caller come back once, when it was told to.
-func (wld *world) refused(req *ask, ver batch.Verdict) {
+func (wld *world) refused(req *ask, ver sched.Decision) {
 	req.over = true
 	wld.res.Refused++
 	req.held = max(req.held, wld.now.Sub(req.spec.Arrived))
@@ -340,13 +340,13 @@
 	case "dark":
 		wld.each(evt, (*server).crash)
 		wld.after(evt.For.d(), func() { wld.each(evt, func(ser *server) { ser.dark = false }) })
-	case "desk-lost":
+	case "coordinator-lost":
 		wld.loseDesk(lostAfter, member.NewSet(member.Member{}).Period())
-	case "desk-killed":
+	case "coordinator-killed":
 		wld.loseDesk(killedAfter, killedAfter)
 	case "all-lost":
 		wld.loseAll(evt.For.d())
-	case "desk-kept":
+	case "coordinator-kept":
 		wld.lostAt = wld.now
 	}
 }
@@ -363,7 +363,7 @@
 func (wld *world) loseAll(down time.Duration) {
 	wld.dark = true
 	wld.lostAt = wld.now
-	last := wld.desks[len(wld.desks)-1]
+	last := wld.instances[len(wld.instances)-1]
 	last.lost = true
 	for _, ser := range wld.servers {
 		ser.forget(last)
@@ -382,12 +382,12 @@
 		wld.dark, wld.alone = false, wld.scn.Instances
 		for range wld.alone {
 			wld.addDesk()
-			wld.desks[len(wld.desks)-1].dsk.Start(wld.now)
+			wld.instances[len(wld.instances)-1].sch.Start(wld.now)
 		}
 	})
 	wld.after(down+seenAfter, func() {
-		for _, des := range wld.desks[len(wld.desks)-wld.alone : len(wld.desks)-1] {
-			des.movedAt = wld.now
+		for _, ins := range wld.instances[len(wld.instances)-wld.alone : len(wld.instances)-1] {
+			ins.movedAt = wld.now
 		}
 		wld.alone = 0
 	})
@@ -405,18 +405,18 @@
 // Each entry instance notices by itself, the last of them later by the spread,
 // and hands its requests on.
 func (wld *world) loseDesk(noticed, spread time.Duration) {
-	des := wld.desks[len(wld.desks)-1]
-	des.lost = true
+	ins := wld.instances[len(wld.instances)-1]
+	ins.lost = true
 	wld.lostAt = wld.now
 	for _, ser := range wld.servers {
-		ser.forget(des)
+		ser.forget(ins)
 	}
 	wld.after(noticed, func() {
 		wld.addDesk()
-		nxt := len(wld.desks) - 1
-		wld.desks[nxt].dsk.Succeed(wld.now)
+		nxt := len(wld.instances) - 1
+		wld.instances[nxt].sch.Succeed(wld.now)
 		for num := range wld.scn.Instances {
-			wld.after(time.Duration(num)*spread/time.Duration(wld.scn.Instances), func() { wld.handOver(num, des.num, nxt) })
+			wld.after(time.Duration(num)*spread/time.Duration(wld.scn.Instances), func() { wld.handOver(num, ins.num, nxt) })
 		}
 	})
 }
@@ -424,8 +424,8 @@
 // handOver hands the requests of one entry instance on.
 func (wld *world) handOver(owner, from, to int) {
 	for idx, req := range wld.asks {
-		if idx%wld.scn.Instances == owner && !req.over && req.desk == from {
-			req.desk = to
+		if idx%wld.scn.Instances == owner && !req.over && req.coordinator == from {
+			req.coordinator = to
 			wld.hand(req)
 		}
 	}
