core/member: heartbeat, coordinator and unreachable zones by the field's terms

Renames only, no behaviour: Beat is Heartbeat, Desk Coordinator, elder precedes, DarkZones UnreachableZones, told reportedAt, Unlike Diverged, Audience Targets. go test of core/member, io/edge, io/mesh: green.

--- a/core/member/clock_test.go
+++ b/core/member/clock_test.go
@@ -20,20 +20,20 @@
 // it at 03:44:27, back to c at 03:44:36, and it stayed so with nothing disturbed.
 func TestAllAgreeOnOneThatStartedWithItsClockBehind(t *testing.T) {
 	set := NewSet(Member{Address: "b", Zone: "z", Born: 1020, Share: 400})
-	set.SetBeat(Beat{Ready: true, Fresh: -1})
+	set.SetHeartbeat(Heartbeat{Ready: true, Fresh: -1})
 	set.Linked(start, Member{Address: "c", Zone: "z", Born: 1015, Share: 400})
-	set.Heard(start, "c", Beat{Ready: true})
+	set.Heard(start, "c", Heartbeat{Ready: true})
 	before := Member{Address: "a", Zone: "z", Born: 1030, Share: 400}
 	set.Linked(start, before)
-	set.Heard(start, "a", Beat{Ready: true})
-	require.Equal(t, "c", set.Desk(start))
+	set.Heard(start, "a", Heartbeat{Ready: true})
+	require.Equal(t, "c", set.Coordinator(start))
 	set.Unlinked(start, "a")
 	set.Linked(start, Member{Address: "a", Zone: "z", Born: 500, Share: 400})
-	set.Heard(start, "a", Beat{Ready: true})
-	require.Equal(t, "a", set.Desk(start))
+	set.Heard(start, "a", Heartbeat{Ready: true})
+	require.Equal(t, "a", set.Coordinator(start))
 
 	set.Learn(start, []Member{before})
 
-	require.Equal(t, "a", set.Desk(start), "a says of itself that it started at 500, over an open link")
+	require.Equal(t, "a", set.Coordinator(start), "a says of itself that it started at 500, over an open link")
 	require.Contains(t, set.List(), Member{Address: "a", Zone: "z", Born: 500, Share: 400}, "what is named to others")
 }
--- a/core/member/hubs.go
+++ b/core/member/hubs.go
@@ -28,7 +28,7 @@
 	}
 	clear(out)
 	for _, list := range byZone {
-		sort.Slice(list, func(i, j int) bool { return elder(list[i], list[j]) })
+		sort.Slice(list, func(i, j int) bool { return precedes(list[i], list[j]) })
 		for _, mem := range list[:min(hubsPerZone, len(list))] {
 			out[mem.Address] = true
 		}
@@ -51,9 +51,9 @@
 // IsHub reports whether a member is one of those that all link to.
 func (set *Set) IsHub(now time.Time, address string) bool { return set.hubs(now)[address] }
 
-// Audience returns whom this instance tells what it learns first: linked hubs of
+// Targets returns whom this instance tells what it learns first: linked hubs of
 // all zones, and the other linked members of its own.
-func (set *Set) Audience(now time.Time) (hubs, others []string) {
+func (set *Set) Targets(now time.Time) (hubs, others []string) {
 	all := set.hubs(now)
 	for _, inf := range set.links() {
 		switch {
@@ -110,26 +110,26 @@
 	return set.self.Address < inf.Address || now.Sub(inf.known) > turnsAfter
 }
 
-// DarkZones are the other zones of which no member is live though some are
+// UnreachableZones are the other zones of which no member is live though some are
 // known: they may be cut off, with their servers, or just have lost their entry
 // instances.
-func (set *Set) DarkZones(now time.Time) map[string]bool {
-	dark := map[string]bool{}
+func (set *Set) UnreachableZones(now time.Time) map[string]bool {
+	unreachable := map[string]bool{}
 	for _, inf := range set.others {
 		if inf.Born == 0 || inf.Zone == "" || inf.Zone == set.self.Zone {
 			continue
 		}
-		if _, seen := dark[inf.Zone]; !seen {
-			dark[inf.Zone] = true
+		if _, seen := unreachable[inf.Zone]; !seen {
+			unreachable[inf.Zone] = true
 		}
 		if set.live(now, inf) {
-			dark[inf.Zone] = false
+			unreachable[inf.Zone] = false
 		}
 	}
-	for zon, is := range dark {
+	for zon, is := range unreachable {
 		if !is {
-			delete(dark, zon)
+			delete(unreachable, zon)
 		}
 	}
-	return dark
+	return unreachable
 }
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -24,8 +24,8 @@
 	Share int
 }
 
-// Beat is what an instance says of itself a few times a second.
-type Beat struct {
+// Heartbeat is what an instance says of itself a few times a second.
+type Heartbeat struct {
 	// Ready instances know a configuration and servers.
 	Ready bool
 	// Leaving instances take no new duty.
@@ -85,11 +85,11 @@
 // info is what is known of one other member.
 type info struct {
 	Member
-	beat   Beat
+	beat   Heartbeat
 	linked bool
 	heard  time.Time
-	// told is when it last said beat whole; beats since said that it holds.
-	told time.Time
+	// reportedAt is when it last sent a whole heartbeat; those since repeat it.
+	reportedAt time.Time
 	// known is when the address was last named or linked.
 	known  time.Time
 	dialed time.Time
@@ -101,7 +101,7 @@
 // Set is the members as one instance sees them.
 type Set struct {
 	self   Member
-	beat   Beat
+	beat   Heartbeat
 	others map[string]*info
 }
 
@@ -111,8 +111,8 @@
 // Self returns the instance itself.
 func (set *Set) Self() Member { return set.self }
 
-// SetBeat sets what the instance says of itself.
-func (set *Set) SetBeat(bea Beat) { set.beat = bea }
+// SetHeartbeat sets what the instance says of itself.
+func (set *Set) SetHeartbeat(bea Heartbeat) { set.beat = bea }
 
 // Seeds names addresses to try for ever.
 func (set *Set) Seeds(now time.Time, addresses []string) {
@@ -154,7 +154,7 @@
 			inf.Member = mem
 			inf.known = now
 			// Whatever failed was before this start: where all start together, machines
-			// are dialled that are still dark, and passed over as hubs for it they left
+			// are dialled that are still unreachable, and passed over as hubs for it they left
 			// some instances with a forming one of their own for seconds.
 			inf.failed = time.Time{}
 		}
@@ -169,7 +169,7 @@
 		set.others[mem.Address] = inf
 	}
 	if mem.Born != inf.Born {
-		inf.beat = Beat{Fresh: -1}
+		inf.beat = Heartbeat{Fresh: -1}
 	}
 	inf.Member = mem
 	inf.failed = time.Time{}
@@ -188,24 +188,24 @@
 
 // Heard notes a member's beat, and reports whether it may take or leave duties
 // by it.
-func (set *Set) Heard(now time.Time, address string, bea Beat) bool {
+func (set *Set) Heard(now time.Time, address string, bea Heartbeat) bool {
 	inf := set.others[address]
 	if inf == nil {
 		return false
 	}
 	moved := inf.beat.Ready != bea.Ready || inf.beat.Leaving != bea.Leaving
 	inf.beat = bea
-	inf.told = now
+	inf.reportedAt = now
 	inf.heard = now
 	inf.known = now
 	return moved
 }
 
 // Again notes that a member's last beat still holds, and returns that.
-func (set *Set) Again(now time.Time, address string) Beat {
+func (set *Set) Again(now time.Time, address string) Heartbeat {
 	inf := set.others[address]
 	if inf == nil {
-		return Beat{Fresh: -1}
+		return Heartbeat{Fresh: -1}
 	}
 	inf.heard = now
 	inf.known = now
@@ -304,9 +304,9 @@
 	return out
 }
 
-// Unlike returns the members of the parts in which a peer's sums differ, and
+// Diverged returns the members of the parts in which a peer's sums differ, and
 // the parts in which they don't.
-func (set *Set) Unlike(told []uint64) (list []Member, same sums.Mask) {
+func (set *Set) Diverged(told []uint64) (list []Member, same sums.Mask) {
 	mas := set.Sums().Differ(told)
 	for _, mem := range set.List() {
 		if mas.Has(mem.Address) {
@@ -336,10 +336,10 @@
 	}
 }
 
-// elder orders members for a duty: the larger first, since the small ones have
+// precedes orders members for a duty: the larger first, since the small ones have
 // processor time for their own traffic only; then those that run longest, so
 // that a member which comes or comes back takes nothing over.
-func elder(one, two Member) bool {
+func precedes(one, two Member) bool {
 	switch {
 	case one.Share != two.Share:
 		return one.Share > two.Share
@@ -349,15 +349,15 @@
 	return one.Address < two.Address
 }
 
-// Desk returns the member that forms the calls to stage servers. It is this
+// Coordinator returns the member that forms the calls to stage servers. It is this
 // one if nobody else can.
-func (set *Set) Desk(now time.Time) string {
+func (set *Set) Coordinator(now time.Time) string {
 	best, found := set.self, set.beat.Ready && !set.beat.Leaving
 	for _, inf := range set.others {
 		if !set.live(now, inf) || inf.beat.Leaving || !inf.beat.Ready {
 			continue
 		}
-		if !found || elder(inf.Member, best) {
+		if !found || precedes(inf.Member, best) {
 			best, found = inf.Member, true
 		}
 	}
@@ -380,10 +380,10 @@
 			continue
 		}
 		alone = false
-		if inf.Zone == set.self.Zone && inf.beat.Ready && elder(inf.Member, set.self) {
+		if inf.Zone == set.self.Zone && inf.beat.Ready && precedes(inf.Member, set.self) {
 			first = false
 		}
-		if inf.beat.Fresh >= 0 && inf.beat.Fresh+now.Sub(inf.told) < staleAfter {
+		if inf.beat.Fresh >= 0 && inf.beat.Fresh+now.Sub(inf.reportedAt) < staleAfter {
 			news = true
 		}
 	}
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -17,38 +17,38 @@
 // three members: a is the eldest, c has the most processor.
 func three() *Set {
 	set := NewSet(Member{Address: "b", Zone: "z1", Born: 20, Share: 400})
-	set.SetBeat(Beat{Ready: true, Fresh: -1})
+	set.SetHeartbeat(Heartbeat{Ready: true, Fresh: -1})
 	set.Linked(start, Member{Address: "a", Zone: "z1", Born: 10, Share: 400})
 	set.Linked(start, Member{Address: "c", Zone: "z2", Born: 30, Share: 800})
-	set.Heard(start, "a", Beat{Ready: true, Fresh: 0})
-	set.Heard(start, "c", Beat{Ready: true, Fresh: -1})
+	set.Heard(start, "a", Heartbeat{Ready: true, Fresh: 0})
+	set.Heard(start, "c", Heartbeat{Ready: true, Fresh: -1})
 	return set
 }
 
 // The largest forms the calls, then the eldest; one that leaves, isn't ready or
 // is silent doesn't, and an instance that sees nobody else does it itself.
-func TestDeskFollowsFromMembers(t *testing.T) {
+func TestCoordinatorFollowsFromMembers(t *testing.T) {
 	set := three()
-	require.Equal(t, "c", set.Desk(start))
-	set.Heard(start, "c", Beat{Ready: true, Leaving: true})
-	require.Equal(t, "a", set.Desk(start))
-	set.Heard(start, "a", Beat{})
-	require.Equal(t, "b", set.Desk(start))
-	set.Heard(start, "a", Beat{Ready: true})
-	require.Equal(t, "b", set.Desk(at(2*time.Second)), "all others are silent")
-	set.SetBeat(Beat{Ready: true, Leaving: true})
-	require.Equal(t, "b", set.Desk(at(2*time.Second)), "nobody else can")
+	require.Equal(t, "c", set.Coordinator(start))
+	set.Heard(start, "c", Heartbeat{Ready: true, Leaving: true})
+	require.Equal(t, "a", set.Coordinator(start))
+	set.Heard(start, "a", Heartbeat{})
+	require.Equal(t, "b", set.Coordinator(start))
+	set.Heard(start, "a", Heartbeat{Ready: true})
+	require.Equal(t, "b", set.Coordinator(at(2*time.Second)), "all others are silent")
+	set.SetHeartbeat(Heartbeat{Ready: true, Leaving: true})
+	require.Equal(t, "b", set.Coordinator(at(2*time.Second)), "nobody else can")
 }
 
 // A member that comes back takes nothing over from one that ran on.
 func TestReturnTakesNothingOver(t *testing.T) {
 	set := three()
 	set.Unlinked(start, "c")
-	require.Equal(t, "a", set.Desk(start))
+	require.Equal(t, "a", set.Coordinator(start))
 	set.Linked(start, Member{Address: "a", Zone: "z1", Born: 90, Share: 400})
-	require.Equal(t, "b", set.Desk(start), "a was born anew and is not ready yet")
-	set.Heard(start, "a", Beat{Ready: true})
-	require.Equal(t, "b", set.Desk(start))
+	require.Equal(t, "b", set.Coordinator(start), "a was born anew and is not ready yet")
+	set.Heard(start, "a", Heartbeat{Ready: true})
+	require.Equal(t, "b", set.Coordinator(start))
 }
 
 // One of each zone reads the store; everybody does who hears no fresh news.
@@ -56,8 +56,8 @@
 	set := three()
 	require.False(t, reads(set, start), "a is elder in the zone, and its news is fresh")
 	require.False(t, reads(set, at(500*time.Millisecond)))
-	set.Heard(at(time.Second), "a", Beat{Ready: true, Fresh: 3 * time.Second})
-	set.Heard(at(time.Second), "c", Beat{Ready: true, Fresh: -1})
+	set.Heard(at(time.Second), "a", Heartbeat{Ready: true, Fresh: 3 * time.Second})
+	set.Heard(at(time.Second), "c", Heartbeat{Ready: true, Fresh: -1})
 	require.True(t, reads(set, at(time.Second)), "a's news is old")
 	set.Unlinked(start, "a")
 	require.True(t, reads(set, at(time.Second)), "eldest of its zone")
@@ -92,12 +92,12 @@
 
 // A zone is dark while all its known members are silent; the instance's own
 // never is.
-func TestDarkZones(t *testing.T) {
+func TestUnreachableZones(t *testing.T) {
 	set := three()
-	require.Empty(t, set.DarkZones(start))
-	require.Equal(t, map[string]bool{"z2": true}, set.DarkZones(at(2*time.Second)))
+	require.Empty(t, set.UnreachableZones(start))
+	require.Equal(t, map[string]bool{"z2": true}, set.UnreachableZones(at(2*time.Second)))
 	set.Linked(at(2*time.Second), Member{Address: "d", Zone: "z2", Born: 40})
-	require.Empty(t, set.DarkZones(at(2*time.Second)))
+	require.Empty(t, set.UnreachableZones(at(2*time.Second)))
 }
 
 // In a large fleet everybody links to two of each zone, the eldest; one that
@@ -133,7 +133,7 @@
 	for num := range 40 {
 		adr := string(rune('A' + num))
 		set.Linked(start, Member{Address: adr, Zone: "z", Born: 1, Share: 200})
-		set.Heard(start, adr, Beat{Ready: true, Fresh: time.Minute})
+		set.Heard(start, adr, Heartbeat{Ready: true, Fresh: time.Minute})
 	}
 	got, crowd = set.Reader(start)
 	require.True(t, got)
@@ -171,7 +171,7 @@
 	require.Equal(t, 400*time.Millisecond, large(1000).Period())
 	for size, most := range map[int]time.Duration{3: 850 * time.Millisecond, 200: 850 * time.Millisecond, 300: 1250 * time.Millisecond} {
 		set := large(size)
-		set.Heard(start, "a", Beat{Ready: true})
+		set.Heard(start, "a", Heartbeat{Ready: true})
 		require.True(t, set.Live(at(most), "a"))
 		require.False(t, set.Live(at(most+time.Millisecond), "a"))
 		require.Empty(t, set.Silent(at(most+deadAfter)))
@@ -183,11 +183,11 @@
 // news of the store no younger.
 func TestAgainKeepsWhatWasSaid(t *testing.T) {
 	set := large(20)
-	set.Heard(start, "a", Beat{Ready: true, Fresh: time.Second, Version: 7})
+	set.Heard(start, "a", Heartbeat{Ready: true, Fresh: time.Second, Version: 7})
 	for num := range 10 {
 		require.EqualValues(t, 7, set.Again(at(time.Duration(num)*200*time.Millisecond), "a").Version)
 	}
-	require.Equal(t, "a", set.Desk(at(2*time.Second)))
+	require.Equal(t, "a", set.Coordinator(at(2*time.Second)))
 	require.False(t, reads(set, at(1400*time.Millisecond)))
 	require.True(t, reads(set, at(1600*time.Millisecond)), "it was a second old when it was told")
 	require.EqualValues(t, -1, set.Again(start, "nobody").Fresh)
@@ -206,7 +206,7 @@
 	same &^= one.Differ(nil)
 	for num := range 30 {
 		now := at(time.Duration(num) * 10 * time.Second)
-		set.Heard(now, "a", Beat{Ready: true})
+		set.Heard(now, "a", Heartbeat{Ready: true})
 		var named []Member
 		for _, mem := range set.List() {
 			if !same.Has(mem.Address) && mem.Address != dead {
@@ -219,7 +219,7 @@
 	_, known := set.Count(at(5 * time.Minute))
 	require.Equal(t, 59, known)
 	require.NotEqual(t, own.Digest(), set.Sums().Digest())
-	list, same := set.Unlike(own.List())
+	list, same := set.Diverged(own.List())
 	require.Equal(t, 63, same.Count())
 	require.Len(t, list, 60-1-sameIn(set, same))
 
@@ -250,7 +250,7 @@
 	for num := range 60 {
 		set.Linked(start, Member{Address: fmt.Sprintf("m%02d", num), Zone: fmt.Sprintf("z%d", num%3), Born: int64(num + 2), Share: 200})
 	}
-	hubs, others := set.Audience(start)
+	hubs, others := set.Targets(start)
 	require.Equal(t, []string{"m00", "m01", "m02", "m04", "m05"}, hubs)
 	require.Len(t, others, 19)
 	for _, adr := range others {
@@ -286,14 +286,14 @@
 // A beat tells whether its sender may take or leave duties by it.
 func TestBeatsTellOfDuties(t *testing.T) {
 	set := three()
-	require.False(t, set.Heard(start, "a", Beat{Ready: true, Version: 7}))
-	require.True(t, set.Heard(start, "a", Beat{Ready: true, Leaving: true}))
-	require.True(t, set.Heard(start, "a", Beat{}))
-	require.False(t, set.Heard(start, "nobody", Beat{Ready: true}))
+	require.False(t, set.Heard(start, "a", Heartbeat{Ready: true, Version: 7}))
+	require.True(t, set.Heard(start, "a", Heartbeat{Ready: true, Leaving: true}))
+	require.True(t, set.Heard(start, "a", Heartbeat{}))
+	require.False(t, set.Heard(start, "nobody", Heartbeat{Ready: true}))
 }
 
 // All instances of a large fleet start together. One dials a machine that is still
-// dark, and hears of its start a moment later. Passed over as a hub for the failure
+// unreachable, and hears of its start a moment later. Passed over as a hub for the failure
 // before, it stays without a link, and others form calls beside it.
 func TestStartUndoesAFailureBefore(t *testing.T) {
 	set := NewSet(Member{Address: "m00", Zone: "z1", Born: 50, Share: 100})
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -66,7 +66,7 @@
 
 // said is what the peers were last told by a whole beat.
 type said struct {
-	beat    member.Beat
+	beat    member.Heartbeat
 	storeAt time.Time
 	// missed are peers that were not told.
 	missed map[string]bool
--- a/io/edge/control_test.go
+++ b/io/edge/control_test.go
@@ -142,7 +142,7 @@
 	ctl.do(evGot{from: "a", msg: mesh.Config{Document: []byte("7")}}, evConfig{doc: []byte("5")}, evConfig{doc: []byte("nonsense")})
 	require.EqualValues(t, 7, ctl.View().Table.Version())
 	ctl.do(evConfig{doc: []byte("9")}, evTick{})
-	beats := of[mesh.Beat](lnk, "a")
+	beats := of[mesh.Heartbeat](lnk, "a")
 	require.EqualValues(t, 9, beats[len(beats)-1].Version, "peers are told with the next tick")
 	ctl.do(evGot{from: "a", msg: mesh.AskConfig{Version: 7}})
 	require.EqualValues(t, 9, of[mesh.Config](lnk, "a")[0].Version)
@@ -154,7 +154,7 @@
 func TestRequestsOutliveTheirDesk(t *testing.T) {
 	ctl, lnk := newControl(t)
 	known(ctl)
-	ctl.do(evLinked{mem: member.Member{Address: "a", Zone: "z", Born: 1, Share: 400}}, evGot{from: "a", msg: mesh.Beat{Beat: member.Beat{Ready: true}}})
+	ctl.do(evLinked{mem: member.Member{Address: "a", Zone: "z", Born: 1, Share: 400}}, evGot{from: "a", msg: mesh.Heartbeat{Heartbeat: member.Heartbeat{Ready: true}}})
 	ctl.duties(ctl.clk.Now())
 	require.Equal(t, "a", ctl.deskAt)
 	one, two := make(chan sched.Decision, 1), make(chan sched.Decision, 1)
@@ -186,7 +186,7 @@
 	var out bytes.Buffer
 	ctl.jou = lines.New(&out, clock.System{})
 	known(ctl)
-	ctl.do(evLinked{mem: member.Member{Address: "a", Zone: "z", Born: 1, Share: 400}}, evGot{from: "a", msg: mesh.Beat{Beat: member.Beat{Ready: true}}})
+	ctl.do(evLinked{mem: member.Member{Address: "a", Zone: "z", Born: 1, Share: 400}}, evGot{from: "a", msg: mesh.Heartbeat{Heartbeat: member.Heartbeat{Ready: true}}})
 	ctl.duties(ctl.clk.Now())
 	now := ctl.clk.Now()
 	spec := sched.Spec{Key: sched.Key{Owner: "b", ID: "r1"}, Service: "m", Prompt: 10, Arrived: now, Aim: now.Add(time.Second), Give: now.Add(4 * time.Second), End: now.Add(9 * time.Second)}
@@ -321,7 +321,7 @@
 	ctl.do(evLinked{mem: member.Member{Address: "a", Zone: "z", Born: 1}})
 	ctl.woke(ctl.clk.Now(), 4*time.Second)
 	ctl.do(evUnlinked{address: "a"}, evLinked{mem: member.Member{Address: "a", Zone: "z", Born: 1}})
-	ctl.do(evGot{from: "a", msg: mesh.Beat{Beat: member.Beat{Version: 3, Digest: ctl.book.Digest()}}})
+	ctl.do(evGot{from: "a", msg: mesh.Heartbeat{Heartbeat: member.Heartbeat{Version: 3, Digest: ctl.book.Digest()}}})
 	require.Len(t, of[mesh.AskServers](lnk, "a"), 1, "at once, though the digests are equal")
 	require.Len(t, of[mesh.AskConfig](lnk, "a"), 1)
 	ctl.do(evGot{from: "a", msg: mesh.Config{Version: 3}}, evGot{from: "a", msg: mesh.Servers{Part: true}}, evGot{from: "a", msg: mesh.Servers{News: true}})
@@ -348,8 +348,8 @@
 	known(ctl)
 	stage := stock.Known{Revision: 5, Entry: stock.Entry{ID: "s", Service: "st", Address: "s:1", Zone: "z"}}
 	ctl.do(evServers{list: follow.Listing{Revision: 6, Words: []stock.Known{stage}}})
-	ctl.do(evLinked{mem: member.Member{Address: "a", Zone: "z", Born: 1, Share: 400}}, evGot{from: "a", msg: mesh.Beat{Beat: member.Beat{Ready: true}}})
-	ctl.do(evLinked{mem: member.Member{Address: "c", Zone: "z", Born: 2, Share: 400}}, evGot{from: "c", msg: mesh.Beat{Beat: member.Beat{Ready: true}}})
+	ctl.do(evLinked{mem: member.Member{Address: "a", Zone: "z", Born: 1, Share: 400}}, evGot{from: "a", msg: mesh.Heartbeat{Heartbeat: member.Heartbeat{Ready: true}}})
+	ctl.do(evLinked{mem: member.Member{Address: "c", Zone: "z", Born: 2, Share: 400}}, evGot{from: "c", msg: mesh.Heartbeat{Heartbeat: member.Heartbeat{Ready: true}}})
 	ctl.duties(ctl.clk.Now())
 	require.Equal(t, "a", ctl.deskAt)
 	out := make(chan sched.Decision, 1)
@@ -469,23 +469,23 @@
 	ctl.do(evLinked{mem: member.Member{Address: "a", Zone: "z", Born: 1}}, evLinked{mem: member.Member{Address: "c", Zone: "z", Born: 2}})
 	now := ctl.clk.Now()
 	ctl.sayBeats(now)
-	whole, again := len(of[mesh.Beat](lnk, "a")), len(of[mesh.Again](lnk, "a"))
+	whole, again := len(of[mesh.Heartbeat](lnk, "a")), len(of[mesh.Again](lnk, "a"))
 	ctl.sayBeats(now)
 	ctl.sayBeats(now)
-	require.Len(t, of[mesh.Beat](lnk, "a"), whole)
+	require.Len(t, of[mesh.Heartbeat](lnk, "a"), whole)
 	require.Len(t, of[mesh.Again](lnk, "a"), again+2)
 	lnk.down["c"] = true
 	ctl.do(evConfig{doc: []byte("9")})
 	ctl.sayBeats(now)
-	require.EqualValues(t, 9, of[mesh.Beat](lnk, "a")[whole].Version)
+	require.EqualValues(t, 9, of[mesh.Heartbeat](lnk, "a")[whole].Version)
 	lnk.down["c"] = false
 	ctl.sayBeats(now)
-	require.Len(t, of[mesh.Beat](lnk, "a"), whole+1)
-	beats := of[mesh.Beat](lnk, "c")
+	require.Len(t, of[mesh.Heartbeat](lnk, "a"), whole+1)
+	beats := of[mesh.Heartbeat](lnk, "c")
 	require.EqualValues(t, 9, beats[len(beats)-1].Version)
 	ctl.storeAt = ctl.storeAt.Add(freshStep)
 	ctl.sayBeats(now)
-	require.Len(t, of[mesh.Beat](lnk, "a"), whole+2, "news of the store")
+	require.Len(t, of[mesh.Heartbeat](lnk, "a"), whole+2, "news of the store")
 }
 
 // Lists wait at their links for a place; what is small passes, and the end of
@@ -568,13 +568,13 @@
 	now := ctl.clk.Now()
 	for born, name := range []string{"a", "c"} {
 		ctl.do(evLinked{mem: member.Member{Address: name, Zone: "z", Born: int64(born + 1), Share: 400}})
-		ctl.heard(now, name, member.Beat{Ready: true, Fresh: 0})
+		ctl.heard(now, name, member.Heartbeat{Ready: true, Fresh: 0})
 	}
 	require.Equal(t, "a", ctl.deskAt, "with the first beat that says it is ready")
 	out := make(chan sched.Decision, 1)
 	ctl.do(evSubmit{spec: sched.Spec{Key: key("b", "r1"), Service: "m", End: now.Add(time.Minute), Give: now.Add(time.Minute)}, out: out})
 	require.Len(t, of[mesh.Submit](lnk, "a"), 1)
-	ctl.heard(now, "a", member.Beat{Ready: true, Leaving: true})
+	ctl.heard(now, "a", member.Heartbeat{Ready: true, Leaving: true})
 	require.Equal(t, "c", ctl.deskAt)
 	ctl.do(evGot{from: "a", msg: mesh.Decision{Decision: sched.Decision{Key: key("b", "r1"), Outcome: sched.Moved, Server: stock.Entry{Address: "c"}}}})
 	require.Len(t, of[mesh.Submit](lnk, "c"), 1)
@@ -594,7 +594,7 @@
 	ctl.do(evSubmit{spec: sched.Spec{Key: key("b", "r1"), Service: "m", End: now.Add(time.Minute), Give: now.Add(time.Minute)}, out: make(chan sched.Decision, 1)})
 	require.Equal(t, 1, ctl.desk.Jobs())
 	ctl.do(evLinked{mem: member.Member{Address: "a", Zone: "z", Born: 1, Share: 400}})
-	ctl.heard(ctl.clk.Now().Add(time.Millisecond), "a", member.Beat{Ready: true, Fresh: 0})
+	ctl.heard(ctl.clk.Now().Add(time.Millisecond), "a", member.Heartbeat{Ready: true, Fresh: 0})
 	require.Zero(t, ctl.desk.Jobs())
 	require.Len(t, of[mesh.Adopt](lnk, "a"), 1, "it runs at its engine")
 }
--- a/io/edge/duties.go
+++ b/io/edge/duties.go
@@ -109,8 +109,8 @@
 	}
 }
 
-func (ctl *Control) beat(now time.Time) mesh.Beat {
-	bea := member.Beat{Ready: ctl.tab != nil && ctl.book.Len() > 0 && ctl.verified, Leaving: ctl.stopping, Fresh: -1}
+func (ctl *Control) beat(now time.Time) mesh.Heartbeat {
+	bea := member.Heartbeat{Ready: ctl.tab != nil && ctl.book.Len() > 0 && ctl.verified, Leaving: ctl.stopping, Fresh: -1}
 	if !ctl.storeAt.IsZero() {
 		bea.Fresh = now.Sub(ctl.storeAt)
 	}
@@ -118,8 +118,8 @@
 		bea.Version = ctl.tab.Version()
 	}
 	bea.Digest = ctl.book.Digest()
-	ctl.mem.SetBeat(bea)
-	return mesh.Beat{Beat: bea}
+	ctl.mem.SetHeartbeat(bea)
+	return mesh.Heartbeat{Heartbeat: bea}
 }
 
 // freshStep is how much newer the own news of the store may be than the others
@@ -135,7 +135,7 @@
 	again := bea.Ready == said.beat.Ready && bea.Leaving == said.beat.Leaving && bea.Version == said.beat.Version && bea.Digest == said.beat.Digest &&
 		ctl.storeAt.Sub(said.storeAt) < freshStep
 	if !again {
-		said.beat, said.storeAt = bea.Beat, ctl.storeAt
+		said.beat, said.storeAt = bea.Heartbeat, ctl.storeAt
 	}
 	for _, adr := range ctl.mem.Peers() {
 		if again && !said.missed[adr] {
@@ -188,7 +188,7 @@
 
 // duties works out who does what, from the members alone.
 func (ctl *Control) duties(now time.Time) {
-	if desk := ctl.mem.Desk(now); desk != ctl.deskAt {
+	if desk := ctl.mem.Coordinator(now); desk != ctl.deskAt {
 		ctl.jou.Note("desk-moved", lines.Fields{"from": ctl.deskAt, "to": desk})
 		if ctl.deskAt == ctl.set.Told {
 			ctl.movedAt = now
@@ -229,7 +229,7 @@
 
 // doubt notes zones whose instances all went silent, or speak again.
 func (ctl *Control) doubt(now time.Time) {
-	dark := ctl.mem.DarkZones(now)
+	dark := ctl.mem.UnreachableZones(now)
 	for zon := range dark {
 		if !ctl.dark[zon] {
 			ctl.jou.Note("zone-silent", lines.Fields{"zone": zon})
--- a/io/edge/events.go
+++ b/io/edge/events.go
@@ -169,8 +169,8 @@
 		return
 	}
 	switch msg := evt.msg.(type) {
-	case mesh.Beat:
-		ctl.heard(now, evt.from, msg.Beat)
+	case mesh.Heartbeat:
+		ctl.heard(now, evt.from, msg.Heartbeat)
 	case mesh.Again:
 		ctl.heardAgain(now, evt.from)
 	case mesh.Members:
--- a/io/edge/news.go
+++ b/io/edge/news.go
@@ -126,7 +126,7 @@
 
 // heard takes a beat in, and asks for what its sender has and this instance
 // lacks.
-func (ctl *Control) heard(now time.Time, from string, bea member.Beat) {
+func (ctl *Control) heard(now time.Time, from string, bea member.Heartbeat) {
 	if ctl.mem.Heard(now, from, bea) {
 		// It may form the calls from now on, or no longer.
 		ctl.duties(now)
@@ -337,7 +337,7 @@
 		return
 	}
 	hub := ctl.mem.Hub(now)
-	hubs, others := ctl.mem.Audience(now)
+	hubs, others := ctl.mem.Targets(now)
 	for from, fresh := range ctl.news.fresh {
 		delete(ctl.news.fresh, from)
 		told := hubs
@@ -403,7 +403,7 @@
 
 // tellUnlike answers AskMembers.
 func (ctl *Control) tellUnlike(from string, told []uint64) {
-	list, same := ctl.mem.Unlike(told)
+	list, same := ctl.mem.Diverged(told)
 	ctl.lnk.Send(from, mesh.Members{List: list, Same: same})
 }
 
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -357,7 +357,7 @@
 // again, and what they say of versions and digests makes peers ask for the rest.
 func toldAgain(msg Message) bool {
 	switch msg.(type) {
-	case Beat, Again, Members, AskMembers, Config, AskConfig, Servers, AskServers:
+	case Heartbeat, Again, Members, AskMembers, Config, AskConfig, Servers, AskServers:
 		return true
 	}
 	return false
--- a/io/mesh/message.go
+++ b/io/mesh/message.go
@@ -25,9 +25,9 @@
 
 // The messages.
 type (
-	// Beat says that the sender runs.
-	Beat struct{ member.Beat }
-	// Again says that the sender runs and that its last Beat still holds.
+	// Heartbeat says that the sender runs.
+	Heartbeat struct{ member.Heartbeat }
+	// Again says that the sender runs and that its last Heartbeat still holds.
 	Again struct{}
 	// Members names instances, or only tells the digest of all that the sender
 	// knows.
@@ -97,7 +97,7 @@
 )
 
 var (
-	_ Message = Beat{}
+	_ Message = Heartbeat{}
 	_ Message = Again{}
 	_ Message = Members{}
 	_ Message = AskMembers{}
@@ -117,7 +117,7 @@
 	_ Message = Limits{}
 )
 
-func (msg Beat) encode(time.Time) *wire.Envelope {
+func (msg Heartbeat) encode(time.Time) *wire.Envelope {
 	fresh := msg.Fresh.Milliseconds()
 	if msg.Fresh < 0 {
 		fresh = -1
@@ -387,7 +387,7 @@
 	switch bod := env.GetBody().(type) {
 	case *wire.Envelope_Beat:
 		fresh := time.Duration(bod.Beat.GetFresh()) * time.Millisecond
-		return Beat{member.Beat{Ready: bod.Beat.GetReady(), Leaving: bod.Beat.GetLeaving(), Fresh: fresh, Version: bod.Beat.GetVersion(), Digest: bod.Beat.GetDigest()}}
+		return Heartbeat{member.Heartbeat{Ready: bod.Beat.GetReady(), Leaving: bod.Beat.GetLeaving(), Fresh: fresh, Version: bod.Beat.GetVersion(), Digest: bod.Beat.GetDigest()}}
 	case *wire.Envelope_Again:
 		return Again{}
 	case *wire.Envelope_Members:
