--- a/cmd/lovagestream/story.go
+++ b/cmd/lovagestream/story.go
@@ -41,9 +41,9 @@
 	// print is the fingerprint that it has in common with its caller's other
 	// attempts, if a line tells.
 	print any
-	// desk is the address of the instance that formed its calls at last, if a
+	// coordinator is the address of the instance that formed its calls at last, if a
 	// line tells.
-	desk string
+	coordinator string
 	// servers and instances had to do with it, forming made its calls.
 	servers   map[string]bool
 	instances map[string]bool
@@ -93,7 +93,7 @@
 		case "stage-call":
 			tal.forming[lin.from] = true
 		case "request-submitted":
-			tal.desk, _ = lin.fie["desk"].(string)
+			tal.coordinator, _ = lin.fie["coordinator"].(string)
 		case "verdict":
 			tal.unplaced = lin.fie["word"] != "placed"
 		case "request-refused":
@@ -130,7 +130,7 @@
 		if lin.kind != "start" {
 			continue
 		}
-		if tal.desk != "" && lin.fie["told"] == tal.desk {
+		if tal.coordinator != "" && lin.fie["told"] == tal.coordinator {
 			tal.forming[lin.from] = true
 		}
 		if lin.from == tal.taker && lin.at.After(tal.ended) && (tal.restarted.IsZero() || lin.at.Before(tal.restarted)) {
@@ -144,8 +144,8 @@
 
 // beliefs are kinds of lines on an instance itself.
 var beliefs = map[string]bool{
-	"woke-after-pause": true, "verified": true, "stopping": true, "drained": true, "start": true, "stop": true, "config-in-force": true,
-	"desk-moved": true, "requests-handed-over": true, "member-lost": true, "member-silent": true, "zone-silent": true, "zone-speaks": true,
+	"resumed-after-pause": true, "verified": true, "stopping": true, "drained": true, "start": true, "stop": true, "config-in-force": true,
+	"coordinator-changed": true, "requests-handed-over": true, "member-lost": true, "member-silent": true, "zone-silent": true, "zone-speaks": true,
 	"store-lost": true, "store-back": true, "lines-left-out": true,
 }
 
--- a/io/edge/calls.go
+++ b/io/edge/calls.go
@@ -67,7 +67,7 @@
 }
 
 func (evt evCallEnded) apply(ctl *Control, now time.Time) {
-	ctl.desk.CallEnded(now, evt.number, evt.results, evt.how)
+	ctl.sched.CallEnded(now, evt.number, evt.results, evt.how)
 }
 
 func (cal *caller) run(ask sched.Call) {
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -58,10 +58,10 @@
 type waiter struct {
 	spec sched.Spec
 	out  chan sched.Decision
-	// desk is who has it.
-	desk   string
-	placed bool
-	engine string
+	// coordinator is the instance that has it.
+	coordinator string
+	placed      bool
+	engine      string
 }
 
 // said is what the peers were last told by a whole beat.
@@ -96,13 +96,13 @@
 	book    *stock.Book
 	tab     *table.Table
 	doc     []byte
-	desk    *sched.Scheduler
+	sched   *sched.Scheduler
 	repeats *sched.RetryBudget
 	limits  *limits
 	marks   *marks.Table
-	// strangers are servers whose address answered for another, by the
+	// wrongServers are servers whose address answered for another, by the
 	// revision of their entry.
-	strangers map[string]int64
+	wrongServers map[string]int64
 	// live are the servers that can be used, servers the same by service, left
 	// those that can't; survey makes all three. Lists are never changed once
 	// made: views hold them.
@@ -114,13 +114,13 @@
 	surveyedAt time.Time
 	waiters    map[string]*waiter
 	// attempts counts the requests that were handed over.
-	attempts uint64
-	deskAt   string
+	attempts    uint64
+	coordinator string
 	// movedAt is when another instance began to form the calls after this one;
 	// zero while there is nothing to hand off.
 	movedAt time.Time
-	// dark are zones that went silent.
-	dark map[string]bool
+	// unreachable are zones that went silent.
+	unreachable map[string]bool
 	// frees are results to give up, by maker's address.
 	frees map[string][]string
 	// asked counts the pieces that requests needed of each pool since the pools'
@@ -131,12 +131,12 @@
 	// closingAt is when a planned stop will be over; zero before it is near.
 	closingAt time.Time
 	verified  bool
-	wokeAt    time.Time
+	resumedAt time.Time
 	startedAt time.Time
 	// relinked are peers whose links are newer than the last pause: what older
 	// links bring was sent before it.
 	relinked map[string]bool
-	// readConfig and readServers tell what was read since wokeAt.
+	// readConfig and readServers tell what was read since resumedAt.
 	readConfig  bool
 	readServers bool
 	ticked      time.Time
@@ -165,11 +165,11 @@
 		set: set, clk: clk, dec: dec, jou: jou, que: make(chan event, queueLength),
 		mem:  member.NewSet(member.Member{Address: set.Told, Zone: set.Zone, Born: born, Share: set.Share}),
 		book: stock.NewBook(), repeats: sched.NewRetryBudget(set.RepeatRatio, set.RepeatSlack, set.RepeatWindow), limits: newLimits(),
-		strangers: map[string]int64{}, waiters: map[string]*waiter{}, news: newNews(), said: said{missed: map[string]bool{}}, large: make(chan struct{}, largeMessages), ended: make(chan struct{}), relinked: map[string]bool{}, frees: map[string][]string{}, asked: map[string]int{},
-		verified: true, startedAt: now, ticked: now, boot: bootTime(), deskAt: set.Told, reread: func() {},
+		wrongServers: map[string]int64{}, waiters: map[string]*waiter{}, news: newNews(), said: said{missed: map[string]bool{}}, large: make(chan struct{}, largeMessages), ended: make(chan struct{}), relinked: map[string]bool{}, frees: map[string][]string{}, asked: map[string]int{},
+		verified: true, startedAt: now, ticked: now, boot: bootTime(), coordinator: set.Told, reread: func() {},
 	}
-	ctl.desk = sched.New(ctl, ctl.repeats, ctl.limits.book)
-	ctl.desk.Start(now)
+	ctl.sched = sched.New(ctl, ctl.repeats, ctl.limits.book)
+	ctl.sched.Start(now)
 	ctl.mem.Seeds(now, set.Seeds)
 	ctl.duty.Store(&follow.Duty{Reads: true, Crowd: 1})
 	ctl.stats.Store(ctl.state(now))
@@ -243,15 +243,15 @@
 	live, known := ctl.mem.Count(now)
 	viw := &entry.View{
 		Table: ctl.tab, Servers: ctl.servers, Left: ctl.left, Verified: ctl.verified, Stopping: ctl.stopping,
-		Closing: ctl.closingAt, Marks: ctl.marks, Live: live, Known: known, Dark: ctl.dark,
+		Closing: ctl.closingAt, Marks: ctl.marks, Live: live, Known: known, Dark: ctl.unreachable,
 		Limited: ctl.limits.servers(), Paced: ctl.limits.services(ctl.servers),
 		Repeats: entry.RepeatLimits{Ratio: ctl.set.RepeatRatio, Slack: ctl.set.RepeatSlack, Window: ctl.set.RepeatWindow},
 	}
 	ctl.view.Store(viw)
 }
 
-func (ctl *Control) strange(kno stock.Known) bool {
-	rev, have := ctl.strangers[kno.Entry.ID]
+func (ctl *Control) wrongServer(kno stock.Known) bool {
+	rev, have := ctl.wrongServers[kno.Entry.ID]
 	return have && kno.Revision <= rev
 }
 
@@ -264,7 +264,7 @@
 	ctl.live = ctl.usable()
 	ctl.servers, ctl.left = map[string][]stock.Entry{}, map[string]bool{}
 	for _, kno := range ctl.book.All() {
-		if kno.Gone || kno.Entry.Leaving || ctl.strange(kno) {
+		if kno.Gone || kno.Entry.Leaving || ctl.wrongServer(kno) {
 			ctl.left[kno.Entry.ID] = true
 		}
 	}
@@ -275,7 +275,7 @@
 	}
 	ctl.limits.book.Forget(func(id string) bool { return !here[id] })
 	if ctl.tab != nil {
-		ctl.desk.Configure(now, ctl.tab, ctl.live)
+		ctl.sched.Configure(now, ctl.tab, ctl.live)
 	}
 }
 
@@ -284,7 +284,7 @@
 	all := ctl.book.Live()
 	out := all[:0]
 	for _, ent := range all {
-		if _, have := ctl.strangers[ent.ID]; !have {
+		if _, have := ctl.wrongServers[ent.ID]; !have {
 			out = append(out, ent)
 		}
 	}
@@ -326,7 +326,7 @@
 }
 
 // Stranger tells that another server has a server's address.
-func (ctl *Control) Stranger(ent stock.Entry) { ctl.post(evStranger{ent: ent}) }
+func (ctl *Control) Stranger(ent stock.Entry) { ctl.post(evWrongServer{ent: ent}) }
 
 // Config takes what was read.
 func (ctl *Control) Config(doc follow.Document) { ctl.post(evConfig{doc: doc.Bytes}) }
@@ -394,17 +394,17 @@
 		return
 	}
 	if !ctl.lnk.Send(hld.Key.Owner, mesh.Held{Held: hld}) {
-		ctl.jou.Note("results-untold", lines.Fields{"id": hld.Key.ID, "to": hld.Key.Owner})
+		ctl.jou.Note("results-unreported", lines.Fields{"id": hld.Key.ID, "to": hld.Key.Owner})
 	}
 }
 
 // Notify brings a verdict to its entry instance.
 func (ctl *Control) Notify(ver sched.Decision) {
 	if ver.Key.Owner == ctl.set.Told {
-		ctl.verdict(ctl.set.Told, ver)
+		ctl.decided(ctl.set.Told, ver)
 		return
 	}
 	if !ctl.lnk.Send(ver.Key.Owner, mesh.Decision{Decision: ver}) {
-		ctl.jou.Note("verdict-unsent", lines.Fields{"id": ver.Key.ID, "to": ver.Key.Owner})
+		ctl.jou.Note("decision-unsent", lines.Fields{"id": ver.Key.ID, "to": ver.Key.Owner})
 	}
 }
--- a/io/edge/control_test.go
+++ b/io/edge/control_test.go
@@ -117,7 +117,7 @@
 	require.True(t, ctl.Ready())
 	asked := 0
 	ctl.reread = func() { asked++ }
-	ctl.woke(ctl.clk.Now(), 4*time.Second)
+	ctl.resumed(ctl.clk.Now(), 4*time.Second)
 	ctl.do(evGot{from: "a", msg: mesh.Config{Version: 3, Document: []byte("3")}}, evGot{from: "a", msg: mesh.Servers{List: []stock.Known{engine("e", 4)}}})
 	require.False(t, ctl.View().Verified)
 	require.False(t, ctl.Ready())
@@ -156,7 +156,7 @@
 	known(ctl)
 	ctl.do(evLinked{mem: member.Member{Address: "a", Zone: "z", Born: 1, Share: 400}}, evGot{from: "a", msg: mesh.Heartbeat{Heartbeat: member.Heartbeat{Ready: true}}})
 	ctl.duties(ctl.clk.Now())
-	require.Equal(t, "a", ctl.deskAt)
+	require.Equal(t, "a", ctl.coordinator)
 	one, two := make(chan sched.Decision, 1), make(chan sched.Decision, 1)
 	spec := func(id string) sched.Spec {
 		now := ctl.clk.Now()
@@ -168,11 +168,11 @@
 	require.Equal(t, sched.Placed, (<-one).Outcome)
 	lnk.down["a"] = true
 	ctl.do(evUnlinked{address: "a"})
-	require.Equal(t, "b", ctl.deskAt)
+	require.Equal(t, "b", ctl.coordinator)
 	require.Equal(t, sched.Placed, (<-two).Outcome, "placed by this instance")
-	require.Equal(t, 2, ctl.desk.Jobs(), "the running one is counted")
+	require.Equal(t, 2, ctl.sched.Jobs(), "the running one is counted")
 	ctl.do(evEnded{id: "r1"}, evEnded{id: "r2"})
-	require.Zero(t, ctl.desk.Jobs())
+	require.Zero(t, ctl.sched.Jobs())
 	require.Empty(t, ctl.waiters)
 }
 
@@ -194,12 +194,12 @@
 	got := linesOf(t, ctl, &out, "request-submitted")
 	require.Len(t, got, 1)
 	require.Contains(t, got[0], `"id":"r1"`)
-	require.Contains(t, got[0], `"desk":"a"`)
+	require.Contains(t, got[0], `"coordinator":"a"`)
 	lnk.down["a"] = true
 	ctl.do(evUnlinked{address: "a"})
 	got = linesOf(t, ctl, &out, "request-submitted")
 	require.Len(t, got, 2)
-	require.Contains(t, got[1], `"desk":"b"`)
+	require.Contains(t, got[1], `"coordinator":"b"`)
 }
 
 // A call fails whose own line was left out for want of budget. Without the
@@ -263,7 +263,7 @@
 func TestStrangerIsLeftAlone(t *testing.T) {
 	ctl, _ := newControl(t)
 	known(ctl)
-	ctl.do(evStranger{ent: engine("e", 4).Entry})
+	ctl.do(evWrongServer{ent: engine("e", 4).Entry})
 	require.Empty(t, ctl.View().Servers["m"])
 	require.True(t, ctl.View().Left["e"])
 	ctl.do(evServers{list: follow.Listing{Revision: 9, Words: []stock.Known{engine("e", 9)}}})
@@ -319,7 +319,7 @@
 	ctl, lnk := newControl(t)
 	known(ctl)
 	ctl.do(evLinked{mem: member.Member{Address: "a", Zone: "z", Born: 1}})
-	ctl.woke(ctl.clk.Now(), 4*time.Second)
+	ctl.resumed(ctl.clk.Now(), 4*time.Second)
 	ctl.do(evUnlinked{address: "a"}, evLinked{mem: member.Member{Address: "a", Zone: "z", Born: 1}})
 	ctl.do(evGot{from: "a", msg: mesh.Heartbeat{Heartbeat: member.Heartbeat{Version: 3, Digest: ctl.book.Digest()}}})
 	require.Len(t, of[mesh.AskServers](lnk, "a"), 1, "at once, though the digests are equal")
@@ -351,7 +351,7 @@
 	ctl.do(evLinked{mem: member.Member{Address: "a", Zone: "z", Born: 1, Share: 400}}, evGot{from: "a", msg: mesh.Heartbeat{Heartbeat: member.Heartbeat{Ready: true}}})
 	ctl.do(evLinked{mem: member.Member{Address: "c", Zone: "z", Born: 2, Share: 400}}, evGot{from: "c", msg: mesh.Heartbeat{Heartbeat: member.Heartbeat{Ready: true}}})
 	ctl.duties(ctl.clk.Now())
-	require.Equal(t, "a", ctl.deskAt)
+	require.Equal(t, "a", ctl.coordinator)
 	out := make(chan sched.Decision, 1)
 	now := ctl.clk.Now()
 	ctl.do(evSubmit{out: out, spec: sched.Spec{
@@ -454,8 +454,8 @@
 	known(ctl)
 	now := ctl.clk.Now()
 	out := make(chan sched.Decision, 1)
-	ctl.waiters["r1"] = &waiter{out: out, desk: "b", spec: sched.Spec{Key: sched.Key{Owner: "b", ID: "r1"}, Service: "m", Prompt: 10, Arrived: now, Aim: now.Add(time.Second), Give: now.Add(4 * time.Second), End: now.Add(9 * time.Second)}}
-	ctl.woke(now, 2*time.Second)
+	ctl.waiters["r1"] = &waiter{out: out, coordinator: "b", spec: sched.Spec{Key: sched.Key{Owner: "b", ID: "r1"}, Service: "m", Prompt: 10, Arrived: now, Aim: now.Add(time.Second), Give: now.Add(4 * time.Second), End: now.Add(9 * time.Second)}}
+	ctl.resumed(now, 2*time.Second)
 	ctl.duties(ctl.clk.Now())
 	require.Equal(t, sched.Placed, (<-out).Outcome)
 	require.Empty(t, lnk.sent["a"])
@@ -570,12 +570,12 @@
 		ctl.do(evLinked{mem: member.Member{Address: name, Zone: "z", Born: int64(born + 1), Share: 400}})
 		ctl.heard(now, name, member.Heartbeat{Ready: true, Fresh: 0})
 	}
-	require.Equal(t, "a", ctl.deskAt, "with the first beat that says it is ready")
+	require.Equal(t, "a", ctl.coordinator, "with the first beat that says it is ready")
 	out := make(chan sched.Decision, 1)
 	ctl.do(evSubmit{spec: sched.Spec{Key: key("b", "r1"), Service: "m", End: now.Add(time.Minute), Give: now.Add(time.Minute)}, out: out})
 	require.Len(t, of[mesh.Submit](lnk, "a"), 1)
 	ctl.heard(now, "a", member.Heartbeat{Ready: true, Leaving: true})
-	require.Equal(t, "c", ctl.deskAt)
+	require.Equal(t, "c", ctl.coordinator)
 	ctl.do(evGot{from: "a", msg: mesh.Decision{Decision: sched.Decision{Key: key("b", "r1"), Outcome: sched.Moved, Server: stock.Entry{Address: "c"}}}})
 	require.Len(t, of[mesh.Submit](lnk, "c"), 1)
 	ctl.do(evGot{from: "c", msg: mesh.Decision{Decision: sched.Decision{Key: key("b", "r1"), Outcome: sched.Placed, Server: stock.Entry{ID: "e"}}}})
@@ -592,9 +592,9 @@
 	known(ctl)
 	now := ctl.clk.Now()
 	ctl.do(evSubmit{spec: sched.Spec{Key: key("b", "r1"), Service: "m", End: now.Add(time.Minute), Give: now.Add(time.Minute)}, out: make(chan sched.Decision, 1)})
-	require.Equal(t, 1, ctl.desk.Jobs())
+	require.Equal(t, 1, ctl.sched.Jobs())
 	ctl.do(evLinked{mem: member.Member{Address: "a", Zone: "z", Born: 1, Share: 400}})
 	ctl.heard(ctl.clk.Now().Add(time.Millisecond), "a", member.Heartbeat{Ready: true, Fresh: 0})
-	require.Zero(t, ctl.desk.Jobs())
+	require.Zero(t, ctl.sched.Jobs())
 	require.Len(t, of[mesh.Adopt](lnk, "a"), 1, "it runs at its engine")
 }
--- a/io/edge/duties.go
+++ b/io/edge/duties.go
@@ -32,12 +32,12 @@
 	gap := max(boot-ctl.boot, now.Sub(ctl.ticked))
 	ctl.boot, ctl.ticked = boot, now
 	if gap > pauseBound {
-		ctl.woke(now, gap)
+		ctl.resumed(now, gap)
 	}
-	if ctl.desk.Jobs() > 0 {
-		ctl.desk.Tick(now)
+	if ctl.sched.Jobs() > 0 {
+		ctl.sched.Tick(now)
 	}
-	ctl.handOff(now)
+	ctl.transferJobs(now)
 	ctl.sendFrees(now)
 	ctl.seek(now)
 	ctl.passOn(now)
@@ -46,7 +46,7 @@
 		ctl.beatAt = now
 		ctl.beats(now)
 	}
-	if now.Sub(ctl.statedAt) >= statePeriod && ctl.deskAt == ctl.set.Told {
+	if now.Sub(ctl.statedAt) >= statePeriod && ctl.coordinator == ctl.set.Told {
 		ctl.statedAt = now
 		ctl.states(now)
 	}
@@ -62,30 +62,30 @@
 	for _, ent := range ctl.usable() {
 		listed[ent.Service]++
 	}
-	for _, sta := range ctl.desk.States(now) {
+	for _, sta := range ctl.sched.States(now) {
 		ctl.jou.Note("pool-state", lines.Fields{
 			"service": sta.Service, "listed": listed[sta.Service], "servers": sta.Servers, "busy": sta.Busy, "waiting": sta.Waiting, "in-time": sta.InTime,
 			"asked": ctl.asked[sta.Service], "calls": sta.Calls, "pieces": sta.Pieces, "room": int(100 * sta.Room), "no-room": sta.OutOfMemory,
-			"slow": math.Round(100*sta.Slow) / 100, "jobs": ctl.desk.Jobs(),
+			"slow": math.Round(100*sta.Slow) / 100, "jobs": ctl.sched.Jobs(),
 		})
 	}
 	clear(ctl.asked)
 }
 
-// woke drops what the process believed before it stood still. Others have
+// resumed drops what the process believed before it stood still. Others have
 // taken its duties over; servers may have left, keys been revoked.
-func (ctl *Control) woke(now time.Time, gap time.Duration) {
-	num := ctl.desk.Clear(now)
-	ctl.desk.Succeed(now)
+func (ctl *Control) resumed(now time.Time, gap time.Duration) {
+	num := ctl.sched.Clear(now)
+	ctl.sched.Succeed(now)
 	for _, wai := range ctl.waiters {
-		if wai.desk == ctl.set.Told {
+		if wai.coordinator == ctl.set.Told {
 			// Nobody has it now; the next look at the duties hands it on.
-			wai.desk = ""
+			wai.coordinator = ""
 		}
 	}
-	ctl.jou.Note("woke-after-pause", lines.Fields{"gap": gap.Milliseconds(), "jobs-dropped": num})
+	ctl.jou.Note("resumed-after-pause", lines.Fields{"gap": gap.Milliseconds(), "jobs-dropped": num})
 	ctl.verified = false
-	ctl.wokeAt = now
+	ctl.resumedAt = now
 	ctl.readConfig, ctl.readServers = false, false
 	clear(ctl.relinked)
 	for _, adr := range ctl.mem.Peers() {
@@ -102,10 +102,10 @@
 	if ctl.verified {
 		return
 	}
-	if ctl.readConfig && ctl.readServers || now.Sub(ctl.wokeAt) > verifyMost {
+	if ctl.readConfig && ctl.readServers || now.Sub(ctl.resumedAt) > verifyMost {
 		ctl.verified = true
 		ctl.stale = true
-		ctl.jou.Note("verified", lines.Fields{"took": now.Sub(ctl.wokeAt).Milliseconds(), "read": ctl.readConfig && ctl.readServers})
+		ctl.jou.Note("verified", lines.Fields{"took": now.Sub(ctl.resumedAt).Milliseconds(), "read": ctl.readConfig && ctl.readServers})
 	}
 }
 
@@ -188,21 +188,21 @@
 
 // duties works out who does what, from the members alone.
 func (ctl *Control) duties(now time.Time) {
-	if desk := ctl.mem.Coordinator(now); desk != ctl.deskAt {
-		ctl.jou.Note("desk-moved", lines.Fields{"from": ctl.deskAt, "to": desk})
-		if ctl.deskAt == ctl.set.Told {
+	if next := ctl.mem.Coordinator(now); next != ctl.coordinator {
+		ctl.jou.Note("coordinator-changed", lines.Fields{"from": ctl.coordinator, "to": next})
+		if ctl.coordinator == ctl.set.Told {
 			ctl.movedAt = now
 		}
-		before := ctl.deskAt
-		ctl.deskAt = desk
+		before := ctl.coordinator
+		ctl.coordinator = next
 		clear(ctl.asked)
-		if desk == ctl.set.Told {
+		if next == ctl.set.Told {
 			ctl.succeed(now, before)
 			ctl.movedAt = time.Time{}
 		}
 	}
-	ctl.handOff(now)
-	ctl.doubt(now)
+	ctl.transferJobs(now)
+	ctl.suspect(now)
 	ctl.takeOver(now)
 	live, known := ctl.mem.Count(now)
 	duty := follow.Duty{}
@@ -221,27 +221,27 @@
 func (ctl *Control) succeed(now time.Time, before string) {
 	if ctl.mem.Live(now, before) {
 		// It hands off what it has, and gives up what it knows of.
-		ctl.desk.Start(now)
+		ctl.sched.Start(now)
 		return
 	}
-	ctl.desk.Succeed(now)
+	ctl.sched.Succeed(now)
 }
 
-// doubt notes zones whose instances all went silent, or speak again.
-func (ctl *Control) doubt(now time.Time) {
-	dark := ctl.mem.UnreachableZones(now)
-	for zon := range dark {
-		if !ctl.dark[zon] {
+// suspect notes zones whose instances all went silent, or speak again.
+func (ctl *Control) suspect(now time.Time) {
+	unreachable := ctl.mem.UnreachableZones(now)
+	for zon := range unreachable {
+		if !ctl.unreachable[zon] {
 			ctl.jou.Note("zone-silent", lines.Fields{"zone": zon})
 		}
 	}
-	for zon := range ctl.dark {
-		if !dark[zon] {
+	for zon := range ctl.unreachable {
+		if !unreachable[zon] {
 			ctl.jou.Note("zone-speaks", lines.Fields{"zone": zon})
 		}
 	}
-	ctl.dark = dark
-	ctl.desk.Suspect(now, dark)
+	ctl.unreachable = unreachable
+	ctl.sched.Suspect(now, unreachable)
 }
 
 // repeatPart is what the forming instance takes of the fixed number of repeats;
--- a/io/edge/events.go
+++ b/io/edge/events.go
@@ -96,8 +96,8 @@
 	if got == stock.Stale {
 		return false
 	}
-	if rev, have := ctl.strangers[kno.Entry.ID]; have && kno.Revision > rev {
-		delete(ctl.strangers, kno.Entry.ID)
+	if rev, have := ctl.wrongServers[kno.Entry.ID]; have && kno.Revision > rev {
+		delete(ctl.wrongServers, kno.Entry.ID)
 	}
 	word := map[stock.Change]string{stock.Fresh: "listed", stock.Reborn: "reborn", stock.Removed: "gone", stock.Overfull: "no-room"}[got]
 	if got == stock.Fresh && kno.Entry.Leaving {
@@ -152,7 +152,7 @@
 		}
 		ctl.jou.Note("member-lost", fie)
 	}
-	if num := ctl.desk.Owner(now, evt.address); num > 0 {
+	if num := ctl.sched.Owner(now, evt.address); num > 0 {
 		ctl.jou.Note("requests-of-lost-member", lines.Fields{"member": evt.address, "count": num})
 	}
 	ctl.duties(now)
@@ -190,15 +190,15 @@
 	case mesh.Retry:
 		ctl.retry(now, msg.Spec, msg.Outcome, msg.InputsGone)
 	case mesh.Adopt:
-		ctl.desk.Adopt(now, msg.Spec, msg.Engine)
+		ctl.sched.Adopt(now, msg.Spec, msg.Engine)
 	case mesh.Withdraw:
-		ctl.desk.Cancel(now, key(evt.from, msg.ID))
+		ctl.sched.Cancel(now, key(evt.from, msg.ID))
 	case mesh.Began:
-		ctl.desk.Began(now, key(evt.from, msg.ID))
+		ctl.sched.Began(now, key(evt.from, msg.ID))
 	case mesh.Ended:
-		ctl.desk.Ended(now, key(evt.from, msg.ID), msg.Outcome)
+		ctl.sched.Ended(now, key(evt.from, msg.ID), msg.Outcome)
 	case mesh.Decision:
-		ctl.verdict(evt.from, msg.Decision)
+		ctl.decided(evt.from, msg.Decision)
 	case mesh.Held:
 		ctl.held(now, evt.from, msg.Held)
 	case mesh.Limits:
@@ -241,13 +241,13 @@
 	}
 }
 
-type evStranger struct{ ent stock.Entry }
+type evWrongServer struct{ ent stock.Entry }
 
-func (evt evStranger) apply(ctl *Control, now time.Time) {
+func (evt evWrongServer) apply(ctl *Control, now time.Time) {
 	for _, kno := range ctl.book.All() {
 		if kno.Entry.ID == evt.ent.ID && !kno.Gone {
-			ctl.jou.Note("server-stranger", lines.Fields{"server": evt.ent.ID, "address": evt.ent.Address, "revision": kno.Revision})
-			ctl.strangers[evt.ent.ID] = kno.Revision
+			ctl.jou.Note("server-wrong", lines.Fields{"server": evt.ent.ID, "address": evt.ent.Address, "revision": kno.Revision})
+			ctl.wrongServers[evt.ent.ID] = kno.Revision
 			ctl.changed(now)
 		}
 	}
--- a/io/edge/gauges.go
+++ b/io/edge/gauges.go
@@ -8,14 +8,14 @@
 
 // stats is what the control thread leaves for metrics, a few times a second.
 type stats struct {
-	version int64
-	servers int
-	waiters int
-	jobs    int
-	desk    string
-	live    int
-	known   int
-	reads   bool
+	version     int64
+	servers     int
+	waiters     int
+	jobs        int
+	coordinator string
+	live        int
+	known       int
+	reads       bool
 	// storeAge is how long ago the store answered; negative if never.
 	storeAge time.Duration
 	verified bool
@@ -27,7 +27,7 @@
 
 // state makes the stats of a moment.
 func (ctl *Control) state(now time.Time) *stats {
-	sta := &stats{servers: len(ctl.live), waiters: len(ctl.waiters), jobs: ctl.desk.Jobs(), desk: ctl.deskAt, reads: ctl.Duty().Reads, storeAge: -1, verified: ctl.verified, limits: ctl.limits.book.All(), unplaced: ctl.desk.Unplaced()}
+	sta := &stats{servers: len(ctl.live), waiters: len(ctl.waiters), jobs: ctl.sched.Jobs(), coordinator: ctl.coordinator, reads: ctl.Duty().Reads, storeAge: -1, verified: ctl.verified, limits: ctl.limits.book.All(), unplaced: ctl.sched.Unplaced()}
 	sta.live, sta.known = ctl.mem.Count(now)
 	if ctl.tab != nil {
 		sta.version = ctl.tab.Version()
@@ -46,8 +46,8 @@
 	read("config-version", func(sta *stats) any { return sta.version })
 	read("servers", func(sta *stats) any { return sta.servers })
 	read("requests-handed-over", func(sta *stats) any { return sta.waiters })
-	read("desk-jobs", func(sta *stats) any { return sta.jobs })
-	read("desk", func(sta *stats) any { return sta.desk })
+	read("scheduler-jobs", func(sta *stats) any { return sta.jobs })
+	read("coordinator", func(sta *stats) any { return sta.coordinator })
 	read("members-live", func(sta *stats) any { return sta.live })
 	read("members-known", func(sta *stats) any { return sta.known })
 	read("reads-store", func(sta *stats) any { return sta.reads })
--- a/io/edge/handover.go
+++ b/io/edge/handover.go
@@ -24,18 +24,18 @@
 	evt.spec.Attempt = ctl.attempts
 	wai := &waiter{spec: evt.spec, out: evt.out}
 	ctl.waiters[id] = wai
-	ctl.hand(now, wai, ctl.deskAt)
+	ctl.submitTo(now, wai, ctl.coordinator)
 }
 
-// hand gives a request to who forms the calls, or keeps it if nobody can be
+// submitTo gives a request to who forms the calls, or keeps it if nobody can be
 // reached.
-func (ctl *Control) hand(now time.Time, wai *waiter, desk string) {
-	wai.desk = desk
-	if desk != ctl.set.Told && ctl.lnk.Send(desk, mesh.Submit{Spec: wai.spec}) {
+func (ctl *Control) submitTo(now time.Time, wai *waiter, coordinator string) {
+	wai.coordinator = coordinator
+	if coordinator != ctl.set.Told && ctl.lnk.Send(coordinator, mesh.Submit{Spec: wai.spec}) {
 		ctl.noteSubmitted(wai)
 		return
 	}
-	wai.desk = ctl.set.Told
+	wai.coordinator = ctl.set.Told
 	ctl.noteSubmitted(wai)
 	ctl.submit(now, wai.spec)
 }
@@ -47,7 +47,7 @@
 	for _, num := range wai.spec.Pieces {
 		pieces += num
 	}
-	ctl.jou.Note("request-submitted", lines.Fields{"id": wai.spec.Key.ID, "desk": wai.desk, "service": wai.spec.Service, "pieces": pieces, "left": wai.spec.End.Sub(wai.spec.Arrived).Milliseconds()})
+	ctl.jou.Note("request-submitted", lines.Fields{"id": wai.spec.Key.ID, "coordinator": wai.coordinator, "service": wai.spec.Service, "pieces": pieces, "left": wai.spec.End.Sub(wai.spec.Arrived).Milliseconds()})
 }
 
 // submit takes a request in at this instance, which forms its calls.
@@ -57,7 +57,7 @@
 			ctl.asked[stg.Service] += spc.Pieces[num]
 		}
 	}
-	ctl.desk.Submit(now, spc)
+	ctl.sched.Submit(now, spc)
 }
 
 type evWithdraw struct{ id string }
@@ -72,8 +72,8 @@
 }
 
 func (ctl *Control) withdraw(now time.Time, wai *waiter) {
-	if wai.desk == ctl.set.Told {
-		ctl.desk.Cancel(now, wai.spec.Key)
+	if wai.coordinator == ctl.set.Told {
+		ctl.sched.Cancel(now, wai.spec.Key)
 		return
 	}
 	ctl.tell(now, wai, mesh.Withdraw{ID: wai.spec.Key.ID})
@@ -83,7 +83,7 @@
 // where they lie. If that instance is gone, they are given up from here: nobody
 // else knows of them, and they would fill their maker for seconds.
 func (ctl *Control) tell(now time.Time, wai *waiter, msg mesh.Message) {
-	if !ctl.lnk.Send(wai.desk, msg) || !ctl.mem.Live(now, wai.desk) {
+	if !ctl.lnk.Send(wai.coordinator, msg) || !ctl.mem.Live(now, wai.coordinator) {
 		ctl.giveUp(wai.spec.Held)
 	}
 	wai.spec.Held = nil
@@ -108,7 +108,7 @@
 	switch {
 	case wai == nil || wai.spec.Attempt != hld.Attempt:
 		ctl.giveUp([]sched.Held{hld})
-	case wai.desk == from:
+	case wai.coordinator == from:
 		wai.spec.Keep(hld)
 	case !ctl.mem.Live(now, from):
 		ctl.giveUp([]sched.Held{hld})
@@ -121,8 +121,8 @@
 	wai := ctl.waiters[evt.id]
 	switch {
 	case wai == nil:
-	case wai.desk == ctl.set.Told:
-		ctl.desk.Began(now, wai.spec.Key)
+	case wai.coordinator == ctl.set.Told:
+		ctl.sched.Began(now, wai.spec.Key)
 		wai.spec.Held = nil
 	default:
 		ctl.tell(now, wai, mesh.Began{ID: evt.id})
@@ -140,8 +140,8 @@
 		return
 	}
 	delete(ctl.waiters, evt.id)
-	if wai.desk == ctl.set.Told {
-		ctl.desk.Ended(now, wai.spec.Key, evt.out)
+	if wai.coordinator == ctl.set.Told {
+		ctl.sched.Ended(now, wai.spec.Key, evt.out)
 		return
 	}
 	ctl.tell(now, wai, mesh.Ended{ID: evt.id, Outcome: evt.out})
@@ -165,42 +165,42 @@
 		evt.spec.Held = wai.spec.Held
 	}
 	wai.spec, wai.out, wai.placed, wai.engine = evt.spec, evt.out, false, ""
-	if wai.desk != ctl.set.Told && ctl.lnk.Send(wai.desk, mesh.Retry{Spec: evt.spec, Outcome: evt.how, InputsGone: evt.inputsGone}) {
+	if wai.coordinator != ctl.set.Told && ctl.lnk.Send(wai.coordinator, mesh.Retry{Spec: evt.spec, Outcome: evt.how, InputsGone: evt.inputsGone}) {
 		return
 	}
-	wai.desk = ctl.set.Told
+	wai.coordinator = ctl.set.Told
 	ctl.retry(now, evt.spec, evt.how, evt.inputsGone)
 }
 
 // retry goes on with a job's results, or begins anew where it isn't known.
 func (ctl *Control) retry(now time.Time, spc sched.Spec, how place.Outcome, inputsGone bool) {
-	if !ctl.desk.Retry(now, spc.Key, how, inputsGone) {
+	if !ctl.sched.Retry(now, spc.Key, how, inputsGone) {
 		ctl.submit(now, spc)
 	}
 }
 
-// verdict brings a verdict to the request. A request that was handed to another
+// decided brings a decision to the request. A request that was handed to another
 // instance meanwhile takes a place wherever it comes from; the other instance
 // is told that it need not go on.
-func (ctl *Control) verdict(from string, ver sched.Decision) {
+func (ctl *Control) decided(from string, ver sched.Decision) {
 	now := ctl.clk.Now()
 	wai := ctl.waiters[ver.Key.ID]
 	switch {
 	case ver.Outcome == sched.Moved:
-		if wai != nil && wai.desk == from {
+		if wai != nil && wai.coordinator == from {
 			ctl.moved(now, wai, ver.Server.Address)
 		}
 		return
 	case wai == nil || wai.placed:
-		if ver.Outcome == sched.Placed && (wai == nil || wai.desk != from) {
+		if ver.Outcome == sched.Placed && (wai == nil || wai.coordinator != from) {
 			ctl.unwanted(now, from, ver)
 		}
 		return
-	case wai.desk != from && ver.Outcome != sched.Placed:
+	case wai.coordinator != from && ver.Outcome != sched.Placed:
 		return
-	case wai.desk != from:
+	case wai.coordinator != from:
 		ctl.withdraw(now, wai)
-		wai.desk = from
+		wai.coordinator = from
 	}
 	if ver.Outcome == sched.Placed {
 		wai.placed = true
@@ -211,38 +211,38 @@
 	wai.out <- ver
 }
 
-// handOff hands on what this instance has, once another forms the calls.
-func (ctl *Control) handOff(now time.Time) {
-	if ctl.movedAt.IsZero() || ctl.desk.Jobs() == 0 {
+// transferJobs hands on what this instance has, once another forms the calls.
+func (ctl *Control) transferJobs(now time.Time) {
+	if ctl.movedAt.IsZero() || ctl.sched.Jobs() == 0 {
 		return
 	}
-	if num := ctl.desk.Transfer(now, ctl.movedAt, ctl.deskAt); num > 0 {
-		ctl.jou.Note("jobs-handed-off", lines.Fields{"count": num, "to": ctl.deskAt, "left": ctl.desk.Jobs()})
+	if num := ctl.sched.Transfer(now, ctl.movedAt, ctl.coordinator); num > 0 {
+		ctl.jou.Note("jobs-transferred", lines.Fields{"count": num, "to": ctl.coordinator, "left": ctl.sched.Jobs()})
 	}
 }
 
 // moved hands a request to whom the instance that had it names, with what was
 // made for it. An engine that runs it goes on.
-func (ctl *Control) moved(now time.Time, wai *waiter, desk string) {
-	if !ctl.mem.Live(now, desk) {
-		desk = ctl.deskAt
+func (ctl *Control) moved(now time.Time, wai *waiter, coordinator string) {
+	if !ctl.mem.Live(now, coordinator) {
+		coordinator = ctl.coordinator
 	}
 	if !wai.placed {
-		ctl.hand(now, wai, desk)
+		ctl.submitTo(now, wai, coordinator)
 		return
 	}
-	wai.desk = desk
-	if desk == ctl.set.Told {
-		ctl.desk.Adopt(now, wai.spec, wai.engine)
+	wai.coordinator = coordinator
+	if coordinator == ctl.set.Told {
+		ctl.sched.Adopt(now, wai.spec, wai.engine)
 		return
 	}
-	ctl.lnk.Send(desk, mesh.Adopt{Spec: wai.spec, Engine: wai.engine})
+	ctl.lnk.Send(coordinator, mesh.Adopt{Spec: wai.spec, Engine: wai.engine})
 }
 
 // unwanted gives a place back that nobody waits for.
 func (ctl *Control) unwanted(now time.Time, from string, ver sched.Decision) {
 	if from == ctl.set.Told {
-		ctl.desk.Cancel(now, ver.Key)
+		ctl.sched.Cancel(now, ver.Key)
 		return
 	}
 	ctl.lnk.Send(from, mesh.Withdraw{ID: ver.Key.ID})
@@ -254,22 +254,22 @@
 func (ctl *Control) takeOver(now time.Time) {
 	moved := 0
 	for _, wai := range ctl.waiters {
-		if wai.desk == ctl.set.Told || ctl.mem.Live(now, wai.desk) {
+		if wai.coordinator == ctl.set.Told || ctl.mem.Live(now, wai.coordinator) {
 			continue
 		}
 		moved++
 		if !wai.placed {
-			ctl.hand(now, wai, ctl.deskAt)
+			ctl.submitTo(now, wai, ctl.coordinator)
 			continue
 		}
-		wai.desk = ctl.deskAt
-		if ctl.deskAt == ctl.set.Told {
-			ctl.desk.Adopt(now, wai.spec, wai.engine)
+		wai.coordinator = ctl.coordinator
+		if ctl.coordinator == ctl.set.Told {
+			ctl.sched.Adopt(now, wai.spec, wai.engine)
 			continue
 		}
-		ctl.lnk.Send(ctl.deskAt, mesh.Adopt{Spec: wai.spec, Engine: wai.engine})
+		ctl.lnk.Send(ctl.coordinator, mesh.Adopt{Spec: wai.spec, Engine: wai.engine})
 	}
 	if moved > 0 {
-		ctl.jou.Note("requests-handed-over", lines.Fields{"count": moved, "to": ctl.deskAt})
+		ctl.jou.Note("requests-handed-over", lines.Fields{"count": moved, "to": ctl.coordinator})
 	}
 }
--- a/io/edge/pause_test.go
+++ b/io/edge/pause_test.go
@@ -20,7 +20,7 @@
 	ctl, _ := newControl(t)
 	known(ctl)
 	ctl.duties(ctl.clk.Now())
-	require.Equal(t, "b", ctl.deskAt)
+	require.Equal(t, "b", ctl.coordinator)
 	spec := func(id string) sched.Spec {
 		now := ctl.clk.Now()
 		return sched.Spec{Key: sched.Key{Owner: "b", ID: id}, Service: "m", Prompt: 10, Output: 10, Arrived: now, Aim: now.Add(20 * time.Second), Give: now.Add(30 * time.Second), End: now.Add(30 * time.Second)}
@@ -36,7 +36,7 @@
 		}
 	}
 	require.NotEmpty(t, waits, "no request waits")
-	ctl.woke(ctl.clk.Now(), 4*time.Second)
+	ctl.resumed(ctl.clk.Now(), 4*time.Second)
 	known(ctl)
 	require.True(t, ctl.View().Verified)
 	for id := range outs {
--- a/stand/field/field_test.go
+++ b/stand/field/field_test.go
@@ -59,9 +59,9 @@
 
 // An instance's lines say whom it takes for the one that forms the calls.
 func TestDeskOf(t *testing.T) {
-	require.Equal(t, "a:1", deskOf("a:1", `{"msg":"start","told":"a:1"}`))
-	require.Equal(t, "c:3", deskOf("a:1", `{"from":"a:1","level":"info","msg":"desk-moved","time":"x","to":"b:2"}
-{"from":"b:2","level":"info","msg":"desk-moved","time":"x","to":"c:3"}
+	require.Equal(t, "a:1", coordinatorOf("a:1", `{"msg":"start","told":"a:1"}`))
+	require.Equal(t, "c:3", coordinatorOf("a:1", `{"from":"a:1","level":"info","msg":"coordinator-changed","time":"x","to":"b:2"}
+{"from":"b:2","level":"info","msg":"coordinator-changed","time":"x","to":"c:3"}
 `))
 }
 
--- a/stand/field/run.go
+++ b/stand/field/run.go
@@ -54,25 +54,25 @@
 	}
 }
 
-var deskMoved = regexp.MustCompile(`"msg":"desk-moved".*"to":"([^"]*)"`)
+var coordinatorChanged = regexp.MustCompile(`"msg":"coordinator-changed".*"to":"([^"]*)"`)
 
 // agreed checks that all instances take the same one for the one that forms the
 // calls to stage servers. It follows from when they started, by their own
 // clocks: it must not matter that these are wrong.
 func (fld *Field) agreed() {
-	desks := map[string][]string{}
+	coordinators := map[string][]string{}
 	for _, ins := range fld.instances {
-		desk := deskOf(ins.link.Address(), ins.prc.Log())
-		desks[desk] = append(desks[desk], ins.boot.Name)
+		coordinator := coordinatorOf(ins.link.Address(), ins.prc.Log())
+		coordinators[coordinator] = append(coordinators[coordinator], ins.boot.Name)
 	}
-	if len(desks) > 1 {
-		fld.problem("DESK instances disagree once calm: %v", desks)
+	if len(coordinators) > 1 {
+		fld.problem("DESK instances disagree once calm: %v", coordinators)
 	}
 }
 
-// deskOf is whom a process takes for that one, by its lines: itself at first.
-func deskOf(own, log string) string {
-	if all := deskMoved.FindAllStringSubmatch(log, -1); len(all) > 0 {
+// coordinatorOf is whom a process takes for that one, by its lines: itself at first.
+func coordinatorOf(own, log string) string {
+	if all := coordinatorChanged.FindAllStringSubmatch(log, -1); len(all) > 0 {
 		return all[len(all)-1][1]
 	}
 	return own
--- a/stand/replay/replay.go
+++ b/stand/replay/replay.go
@@ -116,19 +116,19 @@
 
 // Baselines by name.
 var baselines = map[string]sched.Policy{
-	"own-calls":        {},
-	"split-jobs":       {SplitJobs: true},
-	"by-due":           {ByDue: true},
-	"keep-infeasible":  {KeepInfeasible: true},
-	"any-zone":         {AnyZone: true},
-	"full-capacity":    {FullCapacity: true},
-	"forget-refused":   {ForgetRefused: true},
-	"ask-full":         {AskFull: true, IgnoreUntracked: true},
-	"results-untold":   {Untold: true},
-	"ignore-untracked": {IgnoreUntracked: true},
-	"room-unfading":    {Unfading: true},
-	"jobs-kept":        {},
-	"admit-all":        {AdmitAll: true, KeepInfeasible: true},
+	"own-calls":          {},
+	"split-jobs":         {SplitJobs: true},
+	"by-due":             {ByDue: true},
+	"keep-infeasible":    {KeepInfeasible: true},
+	"any-zone":           {AnyZone: true},
+	"full-capacity":      {FullCapacity: true},
+	"forget-refused":     {ForgetRefused: true},
+	"ask-full":           {AskFull: true, IgnoreUntracked: true},
+	"results-unreported": {Untold: true},
+	"ignore-untracked":   {IgnoreUntracked: true},
+	"room-unfading":      {Unfading: true},
+	"jobs-kept":          {},
+	"admit-all":          {AdmitAll: true, KeepInfeasible: true},
 }
 
 // Names lists the scenes.
