A server full of untracked results rests before it is asked again

A call of which nothing can be made set the estimate of these results to just under what was asked for; the estimate fades with time, so a moment later there was memory for one piece again, and the same call went out. Each coordinator of that moment sent 1,000 to 5,200 calls a second of one piece (150 in the calm), three of them side by side for two seconds; lines told of 60 a second, the limit of their kind. Change: a server of whose call nothing was made rests as any server without memory does (150 ms, or until a result there is given up), also where untracked results explain it. Ruled out: inputs that are gone (pieces' tries would have ended these requests). Test: TestFadingResultsDrawNoCallsAtOnce, 200 calls a second before, 7 at most.

--- a/core/sched/memory.go
+++ b/core/sched/memory.go
@@ -56,6 +56,10 @@
 	if least == 0 {
 		return false
 	}
+	if known == act.held {
+		// An estimate that fades has memory for one more result a moment later.
+		act.server.outOfMemoryUntil = now.Add(outOfMemoryRest)
+	}
 	// There is still room for less than the smallest of them.
 	act.server.untracked = max(0, act.pool.svc.Batch.Room-known-least+1)
 	act.server.untrackedAt, act.server.untrackedUntil, act.server.fades = now, sch.untrackedExpiry(act.pool), sch.coldStart && !sch.ply.Unfading
--- /dev/null
+++ b/core/sched/memory_test.go
@@ -0,0 +1,29 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A server full of untracked results must not be asked again with every step by which they fade.
+func TestFadingResultsDrawNoCallsAtOnce(t *testing.T) {
+	sch, out := newScheduler(both...)
+	sch.Start(start)
+	sch.Submit(start, spec("a", 8, 1))
+	calls := 0
+	for now := start; now.Before(start.Add(time.Second)); now = now.Add(5 * time.Millisecond) {
+		sch.Tick(now)
+		for _, cal := range out.take() {
+			calls++
+			results := make([]Result, len(cal.Items))
+			for idx := range results {
+				results[idx].Reason = OutOfMemory
+			}
+			sch.CallEnded(now, cal.Number, results, Answered)
+		}
+	}
+	require.Positive(t, calls)
+	require.LessOrEqual(t, calls, 1+int(time.Second/outOfMemoryRest))
+}
--- a/core/sched/scheduler_test.go
+++ b/core/sched/scheduler_test.go
@@ -15,7 +15,7 @@
 
 var start = time.Unix(1000, 0)
 
-// outs keeps what a scheduler decides.
+// effects keeps what a scheduler decides.
 type effects struct {
 	calls    []Call
 	cuts     []uint64
