core/rates: the token bucket is golang.org/x/time/rate's

Cause: the package filled and drained a bucket by hand, which the library does with times given (AllowN, ReserveN, TokensAt, SetLimitAt, SetBurstAt). Change: a limit's bucket is a rate.Limiter, emptied when it is made, since others may have spent what it held; a part that changes is set at all buckets. Depth is whole requests now, rounded down. Ruled out as reasons against it: spending without a token (ReserveN goes into debt), an empty start (AllowN of the burst), a lower burst (SetBurstAt). go test of core/rates (all bounds as they were, SetPart takes the time), core/place, core/sched, io/edge: green. Acts only where a server names a limit.

--- a/core/rates/rates.go
+++ b/core/rates/rates.go
@@ -16,6 +16,8 @@
 import (
 	"sort"
 	"time"
+
+	"golang.org/x/time/rate"
 )
 
 // Word is what one answer of a server says of its limit. Its fields are exported
@@ -71,9 +73,8 @@
 	// next is a higher rate, or the limit's end, that takes effect unless a lower
 	// one is named meanwhile; nil if there is none.
 	next *Word
-	// tokens are requests that may be sent now, as of filledAt.
-	tokens   float64
-	filledAt time.Time
+	// bucket holds the requests that may be sent.
+	bucket *rate.Limiter
 }
 
 // Book holds the limits that are in force.
@@ -88,8 +89,15 @@
 
 // SetPart takes in how many of the known entry instances this one sees: one of
 // two sides of a partition spends no more than its part of each rate.
-func (bok *Book) SetPart(live, known int) {
-	bok.part = min(1, cutSlack*float64(max(1, live))/float64(max(1, known)))
+func (bok *Book) SetPart(now time.Time, live, known int) {
+	part := min(1, cutSlack*float64(max(1, live))/float64(max(1, known)))
+	if part == bok.part {
+		return
+	}
+	bok.part = part
+	for _, row := range bok.rows {
+		bok.refresh(now, row)
+	}
 }
 
 // Heard takes a word in.
@@ -99,7 +107,7 @@
 	case old == nil && (wrd.Ended || len(bok.rows) >= maxServers):
 		return Same
 	case old == nil:
-		bok.rows[wrd.Server] = &row{rate: wrd.Rate, since: now, lowAt: now, filledAt: now}
+		bok.rows[wrd.Server] = bok.newRow(now, wrd.Rate)
 		return Began
 	case wrd.Ended || wrd.Rate > old.rate*(1+alike):
 		old.next = &wrd
@@ -113,10 +121,24 @@
 	return Changed
 }
 
-func (bok *Book) set(now time.Time, row *row, rate float64) {
-	bok.fill(now, row)
-	row.rate = rate
-	row.tokens = min(row.tokens, bok.depth(row))
+// newRow returns a limit with an empty bucket: others may have spent what it held.
+func (bok *Book) newRow(now time.Time, perSecond float64) *row {
+	out := &row{rate: perSecond, since: now, lowAt: now}
+	depth := bok.depth(out)
+	out.bucket = rate.NewLimiter(rate.Limit(bok.speed(out)), depth)
+	out.bucket.AllowN(now, depth)
+	return out
+}
+
+func (bok *Book) set(now time.Time, row *row, perSecond float64) {
+	row.rate = perSecond
+	bok.refresh(now, row)
+}
+
+// refresh gives a bucket the speed and depth that hold now.
+func (bok *Book) refresh(now time.Time, row *row) {
+	row.bucket.SetLimitAt(now, rate.Limit(bok.speed(row)))
+	row.bucket.SetBurstAt(now, bok.depth(row))
 }
 
 // settle takes a row's next word into effect if its time has come.
@@ -161,14 +183,7 @@
 func (bok *Book) speed(row *row) float64 { return max(leastRate, row.rate*bok.part) }
 
 // depth is how many requests may be sent at once.
-func (bok *Book) depth(row *row) float64 { return 1 + bok.speed(row)*depthTime.Seconds() }
-
-func (bok *Book) fill(now time.Time, row *row) {
-	if gap := now.Sub(row.filledAt); gap > 0 {
-		row.tokens = min(bok.depth(row), row.tokens+gap.Seconds()*bok.speed(row))
-		row.filledAt = now
-	}
-}
+func (bok *Book) depth(row *row) int { return 1 + int(bok.speed(row)*depthTime.Seconds()) }
 
 // May reports whether a server may get a request now.
 func (bok *Book) May(now time.Time, server string) bool {
@@ -176,8 +191,7 @@
 	if old == nil {
 		return true
 	}
-	bok.fill(now, old)
-	return old.tokens >= 1
+	return old.bucket.TokensAt(now) >= 1
 }
 
 // Until is how long it takes until a server may get a request.
@@ -186,15 +200,15 @@
 	if old == nil {
 		return 0
 	}
-	bok.fill(now, old)
-	return max(0, time.Duration((1-old.tokens)/bok.speed(old)*float64(time.Second)))
+	lacking := 1 - old.bucket.TokensAt(now)
+	return max(0, time.Duration(lacking/bok.speed(old)*float64(time.Second)))
 }
 
-// Take spends one request of a server's rate, if it has one.
+// Take spends one request of a server's rate, if it has one, also where none is
+// left.
 func (bok *Book) Take(now time.Time, server string) {
 	if old := bok.rows[server]; old != nil {
-		bok.fill(now, old)
-		old.tokens--
+		old.bucket.ReserveN(now, 1)
 	}
 }
 
--- a/core/rates/rates_test.go
+++ b/core/rates/rates_test.go
@@ -66,7 +66,7 @@
 	var sent []time.Time
 	for _, live := range []int{2, 6} {
 		bok := NewBook()
-		bok.SetPart(live, 8)
+		bok.SetPart(start, live, 8)
 		bok.Heard(start, Word{Server: "s", Rate: 20})
 		sent = append(sent, send(bok, "s", start, 8*time.Second)...)
 	}
--- a/io/edge/duties.go
+++ b/io/edge/duties.go
@@ -213,7 +213,7 @@
 	if old := ctl.duty.Swap(&duty); old.Reads != duty.Reads {
 		ctl.jou.Note("store-duty", lines.Fields{"reads": duty.Reads, "crowd": duty.Crowd})
 	}
-	ctl.limits.book.SetPart(live, known)
+	ctl.limits.book.SetPart(now, live, known)
 	ctl.repeats.SetPart(float64(live) / float64(max(1, known)) * repeatPart)
 }
 
