--- a/stand/replay/world.go
+++ b/stand/replay/world.go
@@ -10,7 +10,6 @@
 
 	"lovagestream/core/call"
 	"lovagestream/core/member"
-	"lovagestream/core/rates"
 	"lovagestream/core/sched"
 	"lovagestream/core/stock"
 	"lovagestream/core/table"
@@ -21,10 +20,6 @@
 	hop = 2 * time.Millisecond
 	// tick is how often the control thread looks at the time.
 	tick = 10 * time.Millisecond
-	// lostAfter is how long the loss of an instance goes unnoticed whose machine
-	// lost power; the links of a killed process end at once.
-	lostAfter   = 850 * time.Millisecond
-	killedAfter = 5 * time.Millisecond
 	// step is the time of one event of a stream.
 	step = 20 * time.Millisecond
 	// modelService names the engines' service.
@@ -102,7 +97,7 @@
 		num = scn.Instances
 	}
 	for range num {
-		wld.addDesk()
+		wld.addInstance()
 	}
 	for idx := range scn.Kinds {
 		wld.arrivals(&scn.Kinds[idx])
@@ -140,13 +135,6 @@
 	return ent
 }
 
-func (wld *world) addDesk() {
-	ins := &instance{wld: wld, num: len(wld.instances)}
-	ins.sch = sched.New(ins, sched.NewRetryBudget(0.2, 50, 10*time.Second), rates.NewBook()).WithPolicy(wld.ply)
-	ins.sch.Configure(wld.now, wld.tab, wld.live)
-	wld.instances = append(wld.instances, ins)
-}
-
 // after lets something happen later.
 func (wld *world) after(wait time.Duration, fun func()) {
 	wld.num++
@@ -341,9 +329,9 @@
 		wld.each(evt, (*server).crash)
 		wld.after(evt.For.d(), func() { wld.each(evt, func(ser *server) { ser.dark = false }) })
 	case "coordinator-lost":
-		wld.loseDesk(lostAfter, member.NewSet(member.Member{}).Period())
+		wld.loseCoordinator(lostAfter, member.NewSet(member.Member{}).Period())
 	case "coordinator-killed":
-		wld.loseDesk(killedAfter, killedAfter)
+		wld.loseCoordinator(killedAfter, killedAfter)
 	case "all-lost":
 		wld.loseAll(evt.For.d())
 	case "coordinator-kept":
@@ -351,48 +339,6 @@
 	}
 }
 
-const (
-	// connectWait is how long callers wait for a connection.
-	connectWait = time.Second
-	// seenAfter is how long instances that started together don't see each other.
-	seenAfter = 300 * time.Millisecond
-)
-
-// loseAll ends all instances at once and lets them start again after a while.
-// Callers with a request under way come back once, when they find somebody.
-func (wld *world) loseAll(down time.Duration) {
-	wld.dark = true
-	wld.lostAt = wld.now
-	last := wld.instances[len(wld.instances)-1]
-	last.lost = true
-	for _, ser := range wld.servers {
-		ser.forget(last)
-	}
-	for num, req := range wld.asks {
-		if req.over || req.served {
-			continue
-		}
-		req.over = true
-		if req.tries == 1 {
-			wait := down + time.Duration(wld.rnd.Float64()*float64(connectWait))
-			wld.after(wait, func() { wld.submit(req, fmt.Sprintf("r%d-back", num+1)) })
-		}
-	}
-	wld.after(down, func() {
-		wld.dark, wld.alone = false, wld.scn.Instances
-		for range wld.alone {
-			wld.addDesk()
-			wld.instances[len(wld.instances)-1].sch.Start(wld.now)
-		}
-	})
-	wld.after(down+seenAfter, func() {
-		for _, ins := range wld.instances[len(wld.instances)-wld.alone : len(wld.instances)-1] {
-			ins.movedAt = wld.now
-		}
-		wld.alone = 0
-	})
-}
-
 func (wld *world) each(evt Event, fun func(*server)) {
 	for num := range evt.Count {
 		if ser := wld.servers[fmt.Sprintf("%s-%d", evt.Name, num)]; ser != nil {
@@ -401,36 +347,6 @@
 	}
 }
 
-// loseDesk ends the forming instance; another takes over once that was noticed.
-// Each entry instance notices by itself, the last of them later by the spread,
-// and hands its requests on.
-func (wld *world) loseDesk(noticed, spread time.Duration) {
-	ins := wld.instances[len(wld.instances)-1]
-	ins.lost = true
-	wld.lostAt = wld.now
-	for _, ser := range wld.servers {
-		ser.forget(ins)
-	}
-	wld.after(noticed, func() {
-		wld.addDesk()
-		nxt := len(wld.instances) - 1
-		wld.instances[nxt].sch.Succeed(wld.now)
-		for num := range wld.scn.Instances {
-			wld.after(time.Duration(num)*spread/time.Duration(wld.scn.Instances), func() { wld.handOver(num, ins.num, nxt) })
-		}
-	})
-}
-
-// handOver hands the requests of one entry instance on.
-func (wld *world) handOver(owner, from, to int) {
-	for idx, req := range wld.asks {
-		if idx%wld.scn.Instances == owner && !req.over && req.coordinator == from {
-			req.coordinator = to
-			wld.hand(req)
-		}
-	}
-}
-
 const (
 	// beforeLoss is for how long before the loss of a forming instance callers
 	// count who may wait for it.
