The rest of our own words in code and comments gives way to the field's

Renames and comments only, no behaviour: woke is resumed, hopeless infeasible, doubt in routing the number of prior results, Suspect for pick's zones; intervals of anti-entropy are divergedFor, divergedEvery, syncInterval, noProgressBackoff, fanout; nothing is born or begun anew.

--- a/cmd/lovagestream/draw.go
+++ b/cmd/lovagestream/draw.go
@@ -107,7 +107,7 @@
 	return out
 }
 
-// gone reports whether the process that had a request is over: it began anew
+// gone reports whether the process that had a request is over: it began again
 // later, or wrote nothing more while others did.
 func gone(fai failure, begun []time.Time, wrote, last time.Time) bool {
 	for _, at := range begun {
--- a/cmd/lovagestream/story.go
+++ b/cmd/lovagestream/story.go
@@ -35,7 +35,7 @@
 	taker string
 	ended time.Time
 	// unplaced is set for a request that got no server, restarted where its
-	// instance began anew before it wrote an end.
+	// instance began again before it wrote an end.
 	unplaced  bool
 	restarted time.Time
 	// print is the fingerprint that it has in common with its caller's other
@@ -197,7 +197,7 @@
 		}
 	}
 	if marked {
-		fmt.Fprintln(out, "~ a stage call after a verdict: made anew, or the clocks of the two instances differ")
+		fmt.Fprintln(out, "~ a stage call after a verdict: made again, or the clocks of the two instances differ")
 	}
 }
 
--- a/core/control.go
+++ b/core/control.go
@@ -126,7 +126,7 @@
 		return nil
 	}
 	ctl.dirty = true
-	return append([]Decision{Woke{gap: gap}}, ctl.each(woke{gap: gap})...)
+	return append([]Decision{Resumed{gap: gap}}, ctl.each(resumed{gap: gap})...)
 }
 
 // address adds to each message where it goes and what every message tells.
--- a/core/drive_test.go
+++ b/core/drive_test.go
@@ -87,7 +87,7 @@
 	return nil
 }
 
-// restart starts a node anew, with nothing but its settings.
+// restart starts a node again, with nothing but its settings.
 func (drv *driver) restart(nod *driven, seeds ...string) {
 	nod.start++
 	drv.seed++
--- a/core/fleet/members.go
+++ b/core/fleet/members.go
@@ -28,7 +28,7 @@
 	leaving bool
 	byID    map[string]*Member
 	// links, live and peers are sorted and follow from byID; rebuild makes
-	// them anew when a state changes.
+	// them again when a state changes.
 	links []string
 	// probes are gone members that are tried now and then, sorted.
 	probes []string
@@ -148,10 +148,10 @@
 	mbs.rebuild()
 }
 
-// Woke says that this process was paused. What it last knew is worth nothing
+// Resumed says that this process was paused. What it last knew is worth nothing
 // until members speak again, and their silence says nothing either, since
 // nobody listened.
-func (mbs *Members) Woke(now time.Time) {
+func (mbs *Members) Resumed(now time.Time) {
 	for _, mem := range mbs.byID {
 		if !mem.heard.IsZero() {
 			mem.tried = now.Add(-SuspectAfter)
@@ -161,7 +161,7 @@
 	mbs.Tick(now)
 }
 
-// Tick judges every member anew and reports whether any state changed.
+// Tick judges every member again and reports whether any state changed.
 func (mbs *Members) Tick(now time.Time) bool {
 	changed := false
 	for id, mem := range mbs.byID {
--- a/core/heart.go
+++ b/core/heart.go
@@ -125,8 +125,8 @@
 
 func (hrt *heart) step(now time.Time, ev Event) []Decision {
 	switch evt := ev.(type) {
-	case woke:
-		hrt.ctl.mem.Woke(now)
+	case resumed:
+		hrt.ctl.mem.Resumed(now)
 		hrt.urgent = true
 	case PeerSaid:
 		return hrt.peerSaid(now, evt)
--- a/core/keys/fleet_test.go
+++ b/core/keys/fleet_test.go
@@ -48,7 +48,7 @@
 	paused bool
 	// inbox holds what callers sent during a pause.
 	inbox []*mailed
-	// number of the last ask; it begins anew with each start.
+	// number of the last ask; it begins again with each start.
 	number uint64
 }
 
--- a/core/keys/keys.go
+++ b/core/keys/keys.go
@@ -6,12 +6,12 @@
 // authentication code, whose it is and until when it may be used.
 //
 // The entry instance that gets a request asks the issuer, whose Book alone
-// binds a key to one executor. The executor's Desk keeps what became of the
+// binds a key to one executor. The executor's records keep what became of the
 // run, so that a resend anywhere finds it. Package keys proves each of these:
 //
 //   - A key has at most one executor at any time. The Book binds a free key
 //     only, and frees it only at the word of the very ask that it was bound to.
-//   - An ask that was given up is never run later: the Desk remembers it as
+//   - An ask that was given up is never run later: the records keep it as
 //     dropped for longer than the Book can remember the key.
 //   - What is not remembered proves nothing. A restart, a lost peer or a full
 //     table leads to "unknown", never to "not run" and never to a second run.
--- a/core/keys/keys_test.go
+++ b/core/keys/keys_test.go
@@ -156,13 +156,13 @@
 	for _, ticked := range []bool{false, true} {
 		par := newTestPart(10)
 		beat(par, epoch.Add(time.Second))
-		woke := epoch.Add(6 * time.Second)
+		resumed := epoch.Add(6 * time.Second)
 		if ticked {
-			par.Tick(woke)
+			par.Tick(resumed)
 		}
 		key := NewKey(NewOrigin("entry-2", 1), 5, time.Minute, "family")
-		par.Want(woke, NewWanted(1, key, "family", Digest{}, woke, woke.Add(time.Second)))
-		outs := par.Hear(woke, "entry-2", NewBound(NewAsk(here, 1), 3*time.Second, false))
+		par.Want(resumed, NewWanted(1, key, "family", Digest{}, resumed, resumed.Add(time.Second)))
+		outs := par.Hear(resumed, "entry-2", NewBound(NewAsk(here, 1), 3*time.Second, false))
 		require.IsType(t, Release{}, outs[0].Message())
 		require.Equal(t, result.KeyInUse, outs[1].Verdict().Denial().Reason())
 	}
@@ -214,7 +214,7 @@
 }
 
 // BenchmarkMemory is what one bound key with an answer of 100 bytes leaves in
-// the issuer's book and the executor's desk together.
+// the issuer's book and the executor's records together.
 func BenchmarkMemory(b *testing.B) {
 	const num = 20_000
 	answer := []byte(strings.Repeat("a", 100))
--- a/core/keys/part.go
+++ b/core/keys/part.go
@@ -65,7 +65,7 @@
 }
 
 // Part is the keys' part of one entry instance's control state: the Book of
-// the keys that it issued and the Desk of the asks that it holds. It belongs
+// the keys that it issued and the records of the asks that it holds. It belongs
 // to the control thread.
 type Part struct {
 	self Origin
--- a/core/member/hubs.go
+++ b/core/member/hubs.go
@@ -41,7 +41,7 @@
 
 // Names reports whether this instance names a newcomer of a zone to its peers:
 // hubs name those of their own zone. In a fleet in which all link to all, who
-// links first names everybody. Where all start anew together, nobody may be
+// links first names everybody. Where all start again together, nobody may be
 // there yet to name the first of a zone, and those who don't know of each other
 // form calls side by side until they do.
 func (set *Set) Names(now time.Time, zone string) bool {
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -53,7 +53,7 @@
 	// less than requests can wait that it has taken over.
 	beatsMissed = 4
 	beatSlack   = 50 * time.Millisecond
-	// deadAfter is how much later than that a silent link is cut and dialled anew.
+	// deadAfter is how much later than that a silent link is cut and dialled again.
 	deadAfter = 650 * time.Millisecond
 	// forgotten is how long an address is tried after it was last heard of;
 	// partitions of a minute are ordinary.
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -46,7 +46,7 @@
 	set.Unlinked(start, "c")
 	require.Equal(t, "a", set.Coordinator(start))
 	set.Linked(start, Member{Address: "a", Zone: "z1", Born: 90, Share: 400})
-	require.Equal(t, "b", set.Coordinator(start), "a was born anew and is not ready yet")
+	require.Equal(t, "b", set.Coordinator(start), "a has restarted and is not ready yet")
 	set.Heard(start, "a", Heartbeat{Ready: true})
 	require.Equal(t, "b", set.Coordinator(start))
 }
@@ -64,7 +64,7 @@
 }
 
 // A connection that something between its ends has lost track of stands open
-// and brings nothing. It must be cut, and dialled anew.
+// and brings nothing. It must be cut, and dialled again.
 func TestSilentLinksAreCutAndDialledAnew(t *testing.T) {
 	set := three()
 	require.Empty(t, set.Silent(at(time.Second)))
--- a/core/part.go
+++ b/core/part.go
@@ -13,24 +13,24 @@
 	fill(vie *View)
 }
 
-// woke is the event that parts see ahead of the first event after a pause of
+// resumed is the event that parts see ahead of the first event after a pause of
 // the process.
-type woke struct {
+type resumed struct {
 	gap time.Duration
 }
 
-func (woke) event() {}
+func (resumed) event() {}
 
-var _ Event = woke{}
+var _ Event = resumed{}
 
-// Woke tells the driver that the process was paused.
-type Woke struct {
+// Resumed tells the driver that the process was paused.
+type Resumed struct {
 	gap time.Duration
 }
 
 // Gap returns how long nothing happened.
-func (dec Woke) Gap() time.Duration { return dec.gap }
+func (dec Resumed) Gap() time.Duration { return dec.gap }
 
-func (Woke) decision() {}
+func (Resumed) decision() {}
 
-var _ Decision = Woke{}
+var _ Decision = Resumed{}
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -50,9 +50,9 @@
 	dark map[string]bool
 }
 
-// Doubt sets the zones that went silent; their servers get a request only where
+// Suspect sets the zones that went silent; their servers get a request only where
 // no other can take it.
-func (pol *Pool) Doubt(zones map[string]bool) { pol.dark = zones }
+func (pol *Pool) Suspect(zones map[string]bool) { pol.dark = zones }
 
 // darkPrice is what a server of a silent zone costs.
 const darkPrice = 10 * time.Second
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -74,7 +74,7 @@
 	require.Greater(t, len(seen), 2)
 }
 
-// An engine that was born anew holds nothing; one that leaves, is full or was
+// An engine that was restarted holds nothing; one that leaves, is full or was
 // refused by gets nothing.
 func TestWhoGetsNothing(t *testing.T) {
 	pol := pool(2)
--- a/core/ready.go
+++ b/core/ready.go
@@ -15,7 +15,7 @@
 // ready is the sub-state that keeps an instance from serving before it has
 // heard what its peers know. An instance that starts next to a stale platform
 // would otherwise serve an old revision that everyone else has left behind,
-// and one that woke from a pause would act on what held before it.
+// and one that resumed from a pause would act on what held before it.
 type ready struct {
 	ctl *Control
 	// settled is set once the peers were heard; a pause clears it.
@@ -36,7 +36,7 @@
 	if rdy.since.IsZero() {
 		rdy.since = now
 	}
-	if _, is := ev.(woke); is {
+	if _, is := ev.(resumed); is {
 		rdy.settled, rdy.since, rdy.from = false, now, rdy.ctl.heart.count+1
 		return nil
 	}
--- a/core/route/learn.go
+++ b/core/route/learn.go
@@ -54,9 +54,9 @@
 func (spd *speed) read() float64 { return math.Float64frombits(spd.perUnit.Load()) }
 
 const (
-	// doubt is how many results it takes to half believe that a server is
+	// priorResults is how many results it takes to half believe that a server is
 	// unlike its peers.
-	doubt = 4
+	priorResults = 4
 	// Within these bounds a server counts as much like its peers, and little
 	// of the difference is taken: single results vary that much by what else
 	// is in the batch, and following them would swing the load to and fro.
@@ -74,7 +74,7 @@
 	}
 	num := float64(spd.results.Load())
 	age := max(0, time.Duration(now.UnixNano()-spd.at.Load()))
-	belief := num / (num + doubt) * math.Exp2(-age.Seconds()/forget.Seconds())
+	belief := num / (num + priorResults) * math.Exp2(-age.Seconds()/forget.Seconds())
 	ratio := 1 + (own/peers-1)*belief
 	if ratio > likeLow && ratio < likeHigh {
 		ratio = 1 + (ratio-1)*likeWeight
--- a/core/sched/held.go
+++ b/core/sched/held.go
@@ -9,7 +9,7 @@
 // request's entry instance was told.
 //
 // Load pattern: the coordinator is killed in a burst, with
-// the room of all servers full of results. Made anew, the requests need that
+// the room of all servers full of results. Made again, the requests need that
 // room once more while it is taken, and servers make next to nothing until the
 // results expire, four seconds later. So each entry instance hears what lies
 // where for its own requests, hands them on with it, and the next instance
--- a/core/sched/held_test.go
+++ b/core/sched/held_test.go
@@ -140,7 +140,7 @@
 }
 
 // Results that were handed on are gone when their turn comes: their server was
-// lost meanwhile, or the former instance is alive and gave them up. The pieces
+// lost meanwhile, or the earlier coordinator is alive and gave them up. The pieces
 // are made again, those before them too, whose results were used.
 func TestHandedResultsThatAreGone(t *testing.T) {
 	nxt, got := newScheduler(both...)
@@ -177,7 +177,7 @@
 	require.Len(t, outTwo.verdicts["r1"].Inputs, 1)
 }
 
-// The former instance stood still, and wakes up when its requests were handed
+// The earlier coordinator stood still, and wakes up when its requests were handed
 // on with their results. Given up by it, the instance that goes on would find
 // its inputs gone. What its calls under way bring nobody knows of: that it
 // gives up.
@@ -210,7 +210,7 @@
 	require.Empty(t, out.take())
 }
 
-// A server is born anew under the same ID. What lay there before is not taken
+// A server is restarted under the same ID. What lay there before is not taken
 // for its own.
 func TestRebornServerHoldsNothing(t *testing.T) {
 	nxt, got := newScheduler(both...)
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -98,7 +98,7 @@
 }
 
 // configure takes the live servers in; lost is called for each that is gone or
-// was born anew, with whatever it held.
+// was restarted, with whatever it held.
 func (pol *pool) configure(svc *table.Service, list []stock.Entry, lost func(*server)) {
 	pol.svc = svc
 	seen := map[string]bool{}
--- a/core/sched/pool_test.go
+++ b/core/sched/pool_test.go
@@ -40,7 +40,7 @@
 	require.InDelta(t, 1, ser.slow, 0.15)
 }
 
-// Piece times that were learnt much too long are learnt anew: a call that ends
+// Piece times that were learnt much too long are learnt again: a call that ends
 // early says so, whatever its server.
 func TestPieceTimesComeDown(t *testing.T) {
 	svc := &table.Service{Batch: &table.Batch{Calls: 1, Queue: 2, Size: 50, Call: 150 * time.Millisecond, Piece: 2500 * time.Microsecond}}
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -11,7 +11,7 @@
 // members alone, and nothing that it holds has to outlive it: pieces may be
 // made again.
 //
-// The package reads no clock and does no input or output; a Desk belongs to one
+// The package reads no clock and does no input or output; a Scheduler belongs to one
 // goroutine.
 package sched
 
@@ -152,7 +152,7 @@
 }
 
 // Submit admits a job or refuses it. One that is known already changes nothing
-// but if it is a repeat: that begins anew.
+// but if it is a repeat: that begins again.
 func (sch *Scheduler) Submit(now time.Time, spc Spec) {
 	if old := sch.jobs[spc.Key]; old != nil {
 		if !spc.Again {
--- a/core/sched/scheduler_test.go
+++ b/core/sched/scheduler_test.go
@@ -101,7 +101,7 @@
 	require.Zero(t, sch.Jobs())
 }
 
-// An engine sheds a request. Its results are there; made anew they would cost
+// An engine sheds a request. Its results are there; made again they would cost
 // what others need, and the request its time.
 func TestRetryKeepsResults(t *testing.T) {
 	sch, out := newScheduler(both...)
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -22,7 +22,7 @@
 	Slow        float64
 }
 
-// States tells what each pool does and begins to count anew.
+// States tells what each pool does and begins to count again.
 func (sch *Scheduler) States(now time.Time) []PoolState {
 	var out []PoolState
 	for name, pol := range sch.pools {
--- a/core/sched/transfer_test.go
+++ b/core/sched/transfer_test.go
@@ -66,7 +66,7 @@
 	require.LessOrEqual(t, ser.untracked, sch.pools["first"].svc.Batch.Room-15*3_000_000)
 }
 
-// All instances started anew. What they had left in the servers' room was made one
+// All instances started again. What they had left in the servers' room was made one
 // after the other, and expires so; what a single lost instance leaves was under
 // work together, and expires together.
 func TestWhatAStartFoundExpiresByAndBy(t *testing.T) {
--- a/core/sched/types.go
+++ b/core/sched/types.go
@@ -142,7 +142,7 @@
 	Inputs   []string
 }
 
-// Effects carries out what a Desk decides. Its methods must not block.
+// Effects carries out what a Scheduler decides. Its methods must not block.
 type Effects interface {
 	// Call sends a call; its end comes back through CallEnded.
 	Call(Call)
--- a/core/share/holder.go
+++ b/core/share/holder.go
@@ -4,7 +4,7 @@
 
 // Ask times.
 const (
-	// renewAfter is the age at which a lease is asked for anew.
+	// renewAfter is the age at which a lease is asked for again.
 	renewAfter = 1250 * time.Millisecond
 	// askGap is the least time between two asks of one account.
 	askGap = 200 * time.Millisecond
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -28,7 +28,7 @@
 	// first requests of an account need no wait.
 	Floor = 0.1
 	// spareOut is the part of what nobody needs that is handed out on top of
-	// the needs; the rest stays back for an instance that asks anew, and for
+	// the needs; the rest stays back for an instance that asks again, and for
 	// other zones.
 	spareOut = 0.25
 	// quietAfter is when the need of an asker that is not heard counts no
--- a/core/shares.go
+++ b/core/shares.go
@@ -42,8 +42,8 @@
 	// that are no longer among holders.
 	floors bool
 	lapsed []string
-	// woke is when the last pause ended, or zero.
-	woke time.Time
+	// resumed is when the last pause ended, or zero.
+	resumed time.Time
 }
 
 // loanKey is an account and the zone that lends.
@@ -86,12 +86,12 @@
 	case Tick:
 		shr.sweep(now)
 		decs = append(shr.ask(now), shr.borrow(now)...)
-	case woke:
+	case resumed:
 		// Another splitter may have taken over during the pause, and be
 		// granting what these books think is free.
 		clear(shr.books)
 		clear(shr.loans)
-		shr.woke = now
+		shr.resumed = now
 	default:
 		return nil
 	}
@@ -310,8 +310,8 @@
 	if before == nil || before.State() != fleet.Suspected {
 		return now
 	}
-	if shr.woke.After(before.Heard()) {
-		return shr.woke
+	if shr.resumed.After(before.Heard()) {
+		return shr.resumed
 	}
 	return before.Heard()
 }
--- a/core/stock/stock_test.go
+++ b/core/stock/stock_test.go
@@ -29,7 +29,7 @@
 	require.Equal(t, Fresh, bok.Put(start, word("i", 10, 10, false)))
 }
 
-// A server starts again under its ID: its sequence begins anew, and it knows
+// A server starts again under its ID: its sequence begins again, and it knows
 // nothing of before.
 func TestRebornServerIsNew(t *testing.T) {
 	bok := NewBook()
--- a/io/clock/clock.go
+++ b/io/clock/clock.go
@@ -75,7 +75,7 @@
 
 var _ Watchdog = (*systemWatchdog)(nil)
 
-// Kick starts the period anew.
+// Kick starts the period again.
 func (dog *systemWatchdog) Kick() { dog.tmr.Reset(dog.period) }
 
 // Stop ends the watch.
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -41,7 +41,7 @@
 	// pauseBound is the gap between two ticks from which the process stood
 	// still: others have taken its duties over by then.
 	pauseBound = 800 * time.Millisecond
-	// verifyMost is how long a process that woke may refuse callers for want
+	// verifyMost is how long a process that resumed may refuse callers for want
 	// of news.
 	verifyMost = 3 * time.Second
 	// lapseTime is how long after an outage of the store entries that lapsed
@@ -89,7 +89,7 @@
 	stats atomic.Pointer[stats]
 	// duty tells the reader of the store whether to read.
 	duty atomic.Pointer[follow.Duty]
-	// reread asks it to begin anew.
+	// reread asks it to begin again.
 	reread func()
 
 	mem     *member.Set
@@ -256,7 +256,7 @@
 }
 
 // survey makes what views and the forming of calls need of all servers. Views
-// are made many times a second, also where no server changed: made anew in each,
+// are made many times a second, also where no server changed: made again in each,
 // the lists of 3,000 servers took more of a small instance's processor than its
 // requests.
 func (ctl *Control) survey(now time.Time) {
--- a/io/edge/control_test.go
+++ b/io/edge/control_test.go
@@ -150,7 +150,7 @@
 }
 
 // The instance that forms the calls dies with requests of this one. Those
-// without an engine begin anew elsewhere; of one that runs, the next is told.
+// without an engine begin again elsewhere; of one that runs, the next is told.
 func TestRequestsOutliveTheirDesk(t *testing.T) {
 	ctl, lnk := newControl(t)
 	known(ctl)
@@ -255,7 +255,7 @@
 	require.Len(t, states, 2)
 	require.Contains(t, states[0], `"asked":7,`, "pieces, of own and others' callers")
 	require.Contains(t, states[0], `"listed":2,`)
-	require.Contains(t, states[1], `"asked":0,`, "counted anew each time")
+	require.Contains(t, states[1], `"asked":0,`, "counted from zero each time")
 }
 
 // Another server answers at an address. Nothing goes there until the entry
@@ -280,8 +280,8 @@
 	require.Empty(t, of[mesh.Servers](lnk, "a"), "nothing is told unasked")
 	now := ctl.clk.Now()
 	ctl.compare(now, "a", 77)
-	ctl.compare(now.Add(unlikeFor+time.Millisecond), "a", 77)
-	ctl.compare(now.Add(unlikeFor+200*time.Millisecond), "a", 77)
+	ctl.compare(now.Add(divergedFor+time.Millisecond), "a", 77)
+	ctl.compare(now.Add(divergedFor+200*time.Millisecond), "a", 77)
 	require.Len(t, of[mesh.AskServers](lnk, "a"), 1)
 	require.Equal(t, ctl.book.Sums(), of[mesh.AskServers](lnk, "a")[0].Sums)
 	ctl.compare(now.Add(time.Minute), "a", ctl.book.Digest())
@@ -293,7 +293,7 @@
 }
 
 // The other one lacks something, and its answers bring nothing. Asked again and
-// again, peers of a large fleet would do nothing else; it is asked anew once
+// again, peers of a large fleet would do nothing else; it is asked again once
 // either knows something new.
 func TestPeersWithNothingNewAreLeftAlone(t *testing.T) {
 	ctl, lnk := newControl(t)
@@ -310,7 +310,7 @@
 	require.Equal(t, 1, ask(20*time.Second, 77))
 	require.Equal(t, 2, ask(20*time.Second, 78), "it learnt something")
 	ctl.gotServers(now.Add(20*time.Second), "a", mesh.Servers{})
-	require.Equal(t, 3, ask(20*time.Second+fruitlessFor+unlikeEvery, 78), "now and then all the same")
+	require.Equal(t, 3, ask(20*time.Second+noProgressBackoff+divergedEvery, 78), "now and then all the same")
 }
 
 // An answer in pieces verifies nothing before its last, and news pass on links
@@ -377,7 +377,7 @@
 	require.Len(t, got[0].Spec.Held, 1)
 	require.Equal(t, []string{"h0"}, got[0].Spec.Held[0].Handles)
 	require.Empty(t, ctl.frees)
-	// A word of the former that comes late is of no use to anybody.
+	// A word of the earlier coordinator that comes late is of no use to anybody.
 	ctl.do(evGot{from: "a", msg: mesh.Held{Held: word(ctl, 1, "h9")}})
 	require.Equal(t, map[string][]string{"s:1": {"h9"}}, ctl.frees)
 }
--- a/io/edge/duties.go
+++ b/io/edge/duties.go
@@ -151,7 +151,7 @@
 }
 
 // seekTime is how long after its start an instance looks for others more often
-// than with its beats. Where all start anew, the last are up half a second after
+// than with its beats. Where all start again, the last are up half a second after
 // the first.
 const seekTime = 800 * time.Millisecond
 
--- a/io/edge/handover.go
+++ b/io/edge/handover.go
@@ -172,7 +172,7 @@
 	ctl.retry(now, evt.spec, evt.how, evt.inputsGone)
 }
 
-// retry goes on with a job's results, or begins anew where it isn't known.
+// retry goes on with a job's results, or begins again where it isn't known.
 func (ctl *Control) retry(now time.Time, spc sched.Spec, how place.Outcome, inputsGone bool) {
 	if !ctl.sched.Retry(now, spc.Key, how, inputsGone) {
 		ctl.submit(now, spc)
--- a/io/edge/large_test.go
+++ b/io/edge/large_test.go
@@ -178,7 +178,7 @@
 	sim.document = []byte(doc.String())
 }
 
-// start starts a stopped instance anew.
+// start starts a stopped instance again.
 func (sim *simFleet) start(nod *simNode) {
 	nod.starts++
 	nod.grp = group.New(context.Background())
@@ -449,7 +449,7 @@
 	}
 }
 
-// change has a fifth of the servers report anew.
+// change has a fifth of the servers report again.
 func (sim *simFleet) change() {
 	sim.reports++
 	for num := range len(sim.nodes) * simServers / 5 {
--- a/io/edge/news.go
+++ b/io/edge/news.go
@@ -21,25 +21,25 @@
 // Load pattern: many links are new at the same moment, at a start of all, after
 // a mass restart or where beats were late. Had each end of each link told all
 // that it knows, what 300 instances tell each other fills the links; beats wait
-// behind it, links that seem silent are cut and dialled anew, and each new link
+// behind it, links that seem silent are cut and dialled again, and each new link
 // brings everything once more: 14 MB a second at a hub that has nothing to
 // tell, and 400 MB waiting.
 
 const (
-	// unlikeFor is how long a peer's knowledge of servers may differ before it is
+	// divergedFor is how long a peer's knowledge of servers may differ before it is
 	// asked what differs: news of one change takes a few milliseconds.
-	unlikeFor = 700 * time.Millisecond
-	// unlikeEvery is how often it is asked again if it still differs.
-	unlikeEvery = 4 * time.Second
-	// fruitlessFor is how long a peer isn't asked again that had nothing new,
+	divergedFor = 700 * time.Millisecond
+	// divergedEvery is how often it is asked again if it still differs.
+	divergedEvery = 4 * time.Second
+	// noProgressBackoff is how long a peer isn't asked again that had nothing new,
 	// while both know what they knew then: it is the other that lacks something.
-	fruitlessFor = time.Minute
+	noProgressBackoff = time.Minute
 	// askWait is how long an answer may keep its asker waiting before another
-	// peer is asked; each piece of an answer begins the time anew.
+	// peer is asked; each piece of an answer begins the time again.
 	askWait = time.Second
-	// askPause is the least time between two questions on servers: 2.1 KB a
+	// syncInterval is the least time between two questions on servers: 2.1 KB a
 	// second, and the answers as they differ.
-	askPause = 250 * time.Millisecond
+	syncInterval = 250 * time.Millisecond
 	// answerRate bounds what answers on servers take of the instance's link, in
 	// bytes a second, under half of 10 Mbit/s; beats need the rest.
 	answerRate = 512 << 10
@@ -47,18 +47,18 @@
 	answerBurst = 64 << 10
 	// answerWords is how many words a piece of an answer has, about 18 KB.
 	answerWords = 200
-	// forwardTo is how many hubs a word heard from a peer is passed on to.
-	forwardTo = 6
+	// fanout is how many hubs a word heard from a peer is passed on to.
+	fanout = 6
 )
 
 // question is one that waits for its answer; the zero value is none.
 type question struct {
 	peer string
 	at   time.Time
-	// digest and other are the own and the peer's when it was asked; fruitful
+	// digest and other are the own and the peer's when it was asked; useful
 	// whether the answer brought anything.
 	digest, other uint64
-	fruitful      bool
+	useful        bool
 }
 
 // open reports whether an answer is still waited for.
@@ -143,14 +143,14 @@
 }
 
 // behind asks a peer for its configuration if that is newer, or if this
-// instance woke and must hear that its own is in force.
+// instance resumed and must hear that its own is in force.
 func (ctl *Control) behind(now time.Time, from string, version int64) {
 	own := int64(0)
 	if ctl.tab != nil {
 		own = ctl.tab.Version()
 	}
-	woke := !ctl.verified && !ctl.readConfig && version > 0
-	if version <= own && !woke || ctl.news.config.open(now) {
+	resumed := !ctl.verified && !ctl.readConfig && version > 0
+	if version <= own && !resumed || ctl.news.config.open(now) {
 		return
 	}
 	if ctl.lnk.Send(from, mesh.AskConfig{Version: own}) {
@@ -197,10 +197,10 @@
 
 // compare asks a peer for what it knows otherwise of servers, if that has been
 // so for a while: a word may have been missed while links changed. A newcomer,
-// and one that woke, asks at once.
+// and one that resumed, asks at once.
 func (ctl *Control) compare(now time.Time, from string, digest uint64) {
-	woke := !ctl.verified && !ctl.readServers && digest != 0
-	if digest == ctl.book.Digest() && !woke {
+	resumed := !ctl.verified && !ctl.readServers && digest != 0
+	if digest == ctl.book.Digest() && !resumed {
 		delete(ctl.news.unlike, from)
 		return
 	}
@@ -208,17 +208,17 @@
 	if que.open(now) {
 		return
 	}
-	if !woke && (ctl.book.Len() > 0 || digest == 0) {
+	if !resumed && (ctl.book.Len() > 0 || digest == 0) {
 		since, have := ctl.news.unlike[from]
 		if !have {
 			ctl.news.unlike[from] = now
 		}
-		if !have || now.Sub(since) <= unlikeFor || now.Sub(que.at) < askPause || ctl.inVain(now, from, digest) {
+		if !have || now.Sub(since) <= divergedFor || now.Sub(que.at) < syncInterval || ctl.inVain(now, from, digest) {
 			return
 		}
 	}
 	if ctl.lnk.Send(from, mesh.AskServers{Sums: ctl.book.Sums()}) {
-		ctl.news.unlike[from] = now.Add(unlikeEvery - unlikeFor)
+		ctl.news.unlike[from] = now.Add(divergedEvery - divergedFor)
 		*que = question{peer: from, at: now, digest: ctl.book.Digest(), other: digest}
 	}
 }
@@ -227,7 +227,7 @@
 // which was nothing.
 func (ctl *Control) inVain(now time.Time, from string, digest uint64) bool {
 	old, have := ctl.news.vain[from]
-	return have && old.own == ctl.book.Digest() && old.peer == digest && now.Sub(old.at) < fruitlessFor
+	return have && old.own == ctl.book.Digest() && old.peer == digest && now.Sub(old.at) < noProgressBackoff
 }
 
 // gotServers takes words of a peer in.
@@ -251,7 +251,7 @@
 
 // answered takes a piece of an answer. Its words are not passed on: peers that
 // lack them as well see that this instance knows otherwise now, and ask.
-func (ctl *Control) answered(now time.Time, from string, fruitful, whole bool) {
+func (ctl *Control) answered(now time.Time, from string, useful, whole bool) {
 	if whole {
 		ctl.readServers = ctl.readServers || ctl.relinked[from]
 	}
@@ -260,11 +260,11 @@
 		return
 	}
 	que.at = now
-	que.fruitful = que.fruitful || fruitful
+	que.useful = que.useful || useful
 	if !whole {
 		return
 	}
-	if !que.fruitful {
+	if !que.useful {
 		ctl.news.vain[from] = digests{own: que.digest, peer: que.other, at: now}
 	}
 	que.peer = ""
@@ -345,9 +345,9 @@
 			// The hubs tell everybody.
 			continue
 		}
-		if from != "" && len(hubs) > forwardTo {
+		if from != "" && len(hubs) > fanout {
 			rand.Shuffle(len(hubs), func(i, j int) { hubs[i], hubs[j] = hubs[j], hubs[i] })
-			told = hubs[:forwardTo]
+			told = hubs[:fanout]
 		}
 		msg := mesh.Servers{List: fresh, News: true}.Pack()
 		for _, adr := range slices.Concat(told, others) {
--- a/io/entry/plain.go
+++ b/io/entry/plain.go
@@ -135,7 +135,7 @@
 	viw := vis.srv.ctl.View()
 	list := viw.Servers[vis.service]
 	vis.srv.pln.with(vis.service, func(pol *pick.Pool) {
-		pol.Doubt(viw.Dark)
+		pol.Suspect(viw.Dark)
 		pol.Trim(list)
 		ent, ok = pol.Choose(now, list, vis.srv.zone, avoid, call.Draw(vis.req.ID))
 		if ok {
--- a/io/entry/view.go
+++ b/io/entry/view.go
@@ -28,7 +28,7 @@
 	Limited map[string]bool
 	Paced   map[string]bool
 	// Verified is false after the process stood still, until what it believed
-	// was heard anew.
+	// was heard again.
 	Verified bool
 	// Stopping is set in a planned stop. Closing is when it will be over, set
 	// once connections should end.
--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -108,7 +108,7 @@
 	return &Reader{src: src, snk: snk, clk: clk, jou: jou, duty: duty, seed: seed, cancels: map[string]context.CancelFunc{}}
 }
 
-// Restart ends the calls under way and reads everything anew: what is under way
+// Restart ends the calls under way and reads everything again: what is under way
 // may be an answer from before the process stood still.
 func (rdr *Reader) Restart() {
 	rdr.mu.Lock()
--- a/io/front/answer.go
+++ b/io/front/answer.go
@@ -268,7 +268,7 @@
 	hdr.Set(HeaderRequest, str.id)
 }
 
-// limit bounds the writes to come, anew after an eighth of the bound.
+// limit bounds the writes to come, again after an eighth of the bound.
 func (str *streamer) limit(now time.Time) {
 	const part = 8
 	if now.Sub(str.limited) < str.bound/part {
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -37,7 +37,7 @@
 	dialTime = 1500 * time.Millisecond
 	// connectTime bounds the part of it in which no process takes part. The first
 	// packet to a machine that is still dark is lost, and TCP sends the next a
-	// second later: where all machines start anew, links that wait for that come a
+	// second later: where all machines start again, links that wait for that come a
 	// second later than their ends.
 	connectTime = 150 * time.Millisecond
 	// maxMessage covers the largest configuration that the platform stores.
--- a/io/mesh/twolinks_test.go
+++ b/io/mesh/twolinks_test.go
@@ -75,7 +75,7 @@
 //
 // Two instances dialled each other at once and hold two links. The newer one was
 // reset with a request's hand-over on it. Since the other link stood, nobody was
-// told of an end, so the request was not handed over anew: it waited for a verdict
+// told of an end, so the request was not handed over again: it waited for a verdict
 // until its time was over.
 func TestMessageOutlivesOneOfTwoLinks(t *testing.T) {
 	grp := group.New(context.Background())
--- a/io/peer/mutual.go
+++ b/io/peer/mutual.go
@@ -49,7 +49,7 @@
 	return mut, nil
 }
 
-// Watch reads the files anew every few seconds. Files that can't be read or
+// Watch reads the files again every few seconds. Files that can't be read or
 // don't fit together change nothing and are told once.
 func (mut *Mutual) Watch(ctx context.Context, clk clock.Service, log *logs.Logger, changed func()) {
 	told := ""
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -43,7 +43,7 @@
 	silentBound = 3 * time.Second
 	sweepPeriod = time.Second
 	// pingPeriod finds connections that went silent for good: a ping without
-	// an answer for pingTimeout closes them, and the next message opens anew.
+	// an answer for pingTimeout closes them, and the next message opens again.
 	pingPeriod  = 10 * time.Second
 	pingTimeout = 3 * time.Second
 	dialTimeout = 2 * time.Second
--- a/io/runner/policies.go
+++ b/io/runner/policies.go
@@ -89,7 +89,7 @@
 	}
 }
 
-// matters makes every policy anew, so that none is shared between runners.
+// matters makes every policy again, so that none is shared between runners.
 func matters() map[string]matter {
 	return map[string]matter{
 		"route": newMatter(policy.NewTable[route.Ask, *route.Server](route.Random{}, route.NewRoundRobin(), route.LeastInflight{}, route.TwoChoices{}, route.NewFinish()), Policies.WithRoute),
--- a/io/runner/run.go
+++ b/io/runner/run.go
@@ -90,7 +90,7 @@
 	began := rn.rnr.clk.Now()
 	ver := rn.rnr.pols.adm.Decide(rn.rnr.ask(began, rn.req).AtStage(idx))
 	if ver.Refusal() != "" {
-		return &hopeless{stage: stg.Name(), reason: ver.Refusal(), wait: ver.Wait()}
+		return &infeasible{stage: stg.Name(), reason: ver.Refusal(), wait: ver.Wait()}
 	}
 	rn.tkt.Begin(idx)
 	var snk stage.Sink
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -98,7 +98,7 @@
 // refusal turns the first failure into what the caller is told.
 func (rnr *Runner) refusal(ctx, dctx context.Context, req *Request, err error) *result.Refusal {
 	var sho *shortage
-	var hop *hopeless
+	var hop *infeasible
 	switch {
 	case ctx.Err() != nil:
 		return req.proof.Refuse(result.CallerLeft, 0, err, "the caller left")
@@ -126,15 +126,15 @@
 	return fmt.Sprintf("no backend server of pool %s takes calls", sho.pool)
 }
 
-// hopeless says that a stage was not started, because the request could not
+// infeasible says that a stage was not started, because the request could not
 // end within its deadline any more.
-type hopeless struct {
+type infeasible struct {
 	stage  string
 	reason result.Reason
 	wait   time.Duration
 }
 
 // Error names the stage.
-func (hop *hopeless) Error() string {
+func (hop *infeasible) Error() string {
 	return fmt.Sprintf("too little time was left for stage %s", hop.stage)
 }
--- a/io/serve/handle.go
+++ b/io/serve/handle.go
@@ -56,9 +56,9 @@
 	case core.Refused:
 		han.refused.Add(1)
 		han.log.Warn("Refused a configuration.", logs.Fields{"source": dcs.Source(), "error": dcs.Err()})
-	case core.Woke:
+	case core.Resumed:
 		han.pauses.Add(1)
-		han.log.Warn("Woke from a pause.", logs.Fields{"gap": dcs.Gap()})
+		han.log.Warn("Resumed from a pause.", logs.Fields{"gap": dcs.Gap()})
 	case core.Settled:
 		han.log.Info("Heard the peers.", logs.Fields{"asked": dcs.Asked(), "answered": dcs.Answered(), "waited": dcs.Waited()})
 	}
--- a/io/stage/stage_test.go
+++ b/io/stage/stage_test.go
@@ -238,7 +238,7 @@
 }
 
 // An engine is asked to go on behind two tokens that the caller has, but
-// begins anew. Passing its stream on would show the caller the first tokens
+// begins again. Passing its stream on would show the caller the first tokens
 // twice.
 func TestResumeThatBeginsAnew(t *testing.T) {
 	bnc := newBench(t, says(whole))
--- a/stand/field/run.go
+++ b/stand/field/run.go
@@ -66,7 +66,7 @@
 		coordinators[coordinator] = append(coordinators[coordinator], ins.boot.Name)
 	}
 	if len(coordinators) > 1 {
-		fld.problem("DESK instances disagree once calm: %v", coordinators)
+		fld.problem("COORDINATOR instances disagree once calm: %v", coordinators)
 	}
 }
 
--- a/stand/world/world.go
+++ b/stand/world/world.go
@@ -206,7 +206,7 @@
 	return err
 }
 
-// link makes a link of the proxy, or aims it anew.
+// link makes a link of the proxy, or aims it again.
 func (wor *World) link(name, target string) (string, error) {
 	raw, err := json.Marshal(proxy.LinkBody{Name: name, Target: target})
 	if err != nil {
