--- a/core/sched/fill.go
+++ b/core/sched/fill.go
@@ -1,7 +1,9 @@
 package sched
 
 import (
+	"slices"
 	"sort"
+	"strings"
 	"time"
 )
 
@@ -17,6 +19,9 @@
 	// like an eighth of its answer; a wait of this length rarely makes an answer
 	// late.
 	farWait = 220 * time.Millisecond
+	// fillPause is how long a pool is left alone whose free servers could take
+	// nothing of what waits, unless one of its results is given up or more comes.
+	fillPause = 4 * time.Millisecond
 	// farSlack is what must be left of a job's time besides.
 	farSlack = 150 * time.Millisecond
 )
@@ -52,19 +57,21 @@
 	}
 }
 
+// fillPool gives a pool's free servers what waits for them.
+//
+// Load pattern: in a rush the servers' memory is full, and they are free and can take
+// nothing for much of the time. Going through thousands of pieces at each message
+// then takes all of the coordinator's processor, and calls go out late.
 func (sch *Scheduler) fillPool(now time.Time, pol *pool) {
-	if len(pol.waiting) == 0 {
+	if len(pol.waiting) == 0 || now.Before(pol.nextFill) {
 		return
 	}
 	free := pol.freeServers(now)
 	if len(free) == 0 {
 		return
 	}
-	jobs := make([]*job, 0, len(pol.waiting))
-	for job := range pol.waiting {
-		job.rank, job.rankAt = sch.newRank(now, job), now
-		jobs = append(jobs, job)
-	}
+	jobs := sch.inOrder(now, pol)
+	sent := false
 	for len(free) > 0 {
 		ser := free[0]
 		free = free[1:]
@@ -73,8 +80,12 @@
 		}
 		if pieces := sch.choose(now, pol, ser, jobs); len(pieces) > 0 {
 			sch.send(now, pol, ser, pieces)
+			sent = true
 		}
 	}
+	if !sent {
+		pol.nextFill = now.Add(fillPause)
+	}
 }
 
 // freeServers lists servers whose turn it is, the idle and quick first.
@@ -97,35 +108,28 @@
 	return free
 }
 
-// choose fills one call from what waits, by rank.
-func (sch *Scheduler) choose(now time.Time, pol *pool, ser *server, jobs []*job) []*piece {
-	type entry struct {
-		job *job
-		rnk rank
-	}
-	list := make([]entry, 0, len(jobs))
-	for _, job := range jobs {
-		if len(pol.waiting[job]) == 0 || sch.transferable(job) {
-			continue
-		}
-		rnk := job.rank
-		if zon, far := pol.far(job, ser); far && !sch.ply.AnyZone {
-			if sch.waitsForZone(now, pol, job, zon, jobs) {
-				continue
-			}
-			rnk.due = rnk.due.Add(farDelay)
-		}
-		list = append(list, entry{job: job, rnk: rnk})
+// inOrder returns the jobs that wait for a pool, by rank.
+func (sch *Scheduler) inOrder(now time.Time, pol *pool) []*job {
+	jobs := make([]*job, 0, len(pol.waiting))
+	for job := range pol.waiting {
+		sch.rankOf(now, job)
+		jobs = append(jobs, job)
 	}
-	sort.Slice(list, func(i, j int) bool {
-		if list[i].rnk.before(list[j].rnk) {
-			return true
+	slices.SortFunc(jobs, func(one, two *job) int {
+		switch {
+		case one.rank.before(two.rank):
+			return -1
+		case two.rank.before(one.rank):
+			return 1
 		}
-		if list[j].rnk.before(list[i].rnk) {
-			return false
-		}
-		return list[i].job.spec.Key.ID < list[j].job.spec.Key.ID
+		return strings.Compare(one.spec.Key.ID, two.spec.Key.ID)
 	})
+	return jobs
+}
+
+// choose fills one call from what waits, by rank.
+func (sch *Scheduler) choose(now time.Time, pol *pool, ser *server, jobs []*job) []*piece {
+	list := sch.candidates(now, pol, ser, jobs)
 	size, _ := sch.mayCall(now, ser.ent.Zone, pol.svc.Batch.Size)
 	if ser.rec.Suspect() {
 		// The first call after a rest carries little: it may be lost.
@@ -138,8 +142,11 @@
 		if whole && sch.ply.SplitJobs {
 			continue
 		}
-		for _, ent := range list {
-			pck.take(ent.job, whole)
+		for _, job := range list {
+			if len(pck.out) >= pck.size {
+				break
+			}
+			pck.take(job, whole)
 		}
 	}
 	return pck.out
@@ -205,6 +212,14 @@
 // pull is where a stage of a job is best made: where its inputs lie, or where
 // the prompt is cached that its results go to. Small traffic pulls nowhere.
 func (job *job) pull(stg *stage) string {
+	if stg.pullKnown {
+		return stg.pullZone
+	}
+	stg.pullZone, stg.pullKnown = job.newPull(stg), stg.open()
+	return stg.pullZone
+}
+
+func (job *job) newPull(stg *stage) string {
 	if len(stg.after) == 0 {
 		if stg.size*int64(len(stg.pieces)) >= bulky {
 			return job.zone
@@ -238,11 +253,63 @@
 	return zon, zon != "" && zon != ser.ent.Zone
 }
 
-// zoneWait is how long it takes until a server of a zone can take a job, behind
-// what waits for the same zone.
-func (sch *Scheduler) zoneWait(now time.Time, pol *pool, zone string, jobs []*job, before rank) time.Duration {
-	first := time.Duration(-1)
-	num := 0
+// candidates lists the jobs that a call to a server may serve, in their order
+// there: those that are better made in another zone come later, or wait for it.
+func (sch *Scheduler) candidates(now time.Time, pol *pool, ser *server, jobs []*job) []*job {
+	near, far := make([]*job, 0, len(jobs)), []*job{}
+	zos := zones{ahead: map[string]int{}, first: map[string]time.Duration{}}
+	for _, job := range jobs {
+		waiting := pol.waiting[job]
+		if len(waiting) == 0 || sch.transferable(job) {
+			continue
+		}
+		zon, away := pol.far(job, ser)
+		switch {
+		case !away || sch.ply.AnyZone:
+			near = append(near, job)
+		case !sch.waitsForZone(now, pol, job, zon, &zos):
+			far = append(far, job)
+		}
+		zos.ahead[zon] += len(waiting)
+	}
+	return merge(near, far)
+}
+
+// merge joins two lists in order; those of the second count as due later.
+func merge(near, far []*job) []*job {
+	if len(far) == 0 {
+		return near
+	}
+	out := make([]*job, 0, len(near)+len(far))
+	for len(near) > 0 && len(far) > 0 {
+		rnk := far[0].rank
+		rnk.due = rnk.due.Add(farDelay)
+		if rnk.before(near[0].rank) {
+			out, far = append(out, far[0]), far[1:]
+			continue
+		}
+		out, near = append(out, near[0]), near[1:]
+	}
+	return append(append(out, near...), far...)
+}
+
+// zones are what a pool's zones have to do, while its jobs are gone through in
+// their order.
+type zones struct {
+	// ahead counts the pieces that want a zone, of the jobs so far.
+	ahead map[string]int
+	// first is when a zone's first server is free, or noServers; num counts its
+	// servers.
+	first map[string]time.Duration
+	num   map[string]int
+}
+
+// zoneFree is when the first server of a zone is free, and how many it has.
+func (sch *Scheduler) zoneFree(now time.Time, pol *pool, zone string, zos *zones) (time.Duration, int) {
+	if first, have := zos.first[zone]; have {
+		return first, zos.num[zone]
+	}
+	first, num := noServers, 0
 	for _, ser := range pol.servers {
 		if ser.ent.Zone != zone || sch.unconfirmed(zone) || !ser.usable(now) || ser.slow > 1.5 {
 			continue
@@ -252,27 +319,32 @@
 		if len(ser.inFlight) == 0 {
 			left = 0
 		}
-		if first < 0 || left < first {
+		if num == 1 || left < first {
 			first = left
 		}
 	}
+	zos.first[zone] = first
+	if zos.num == nil {
+		zos.num = map[string]int{}
+	}
+	zos.num[zone] = num
+	return first, num
+}
+
+// zoneWait is how long it takes until a server of a zone can take a job, behind
+// what waits for the same zone.
+func (sch *Scheduler) zoneWait(now time.Time, pol *pool, zone string, zos *zones) time.Duration {
+	first, num := sch.zoneFree(now, pol, zone, zos)
 	if num == 0 {
 		return noServers
 	}
-	ahead := 0
-	for _, job := range jobs {
-		list := pol.waiting[job]
-		if len(list) > 0 && job.pull(list[0].stage) == zone && job.rank.before(before) {
-			ahead += len(list)
-		}
-	}
-	calls := ahead / (pol.svc.Batch.Size * num)
+	calls := zos.ahead[zone] / (pol.svc.Batch.Size * num)
 	return first + time.Duration(calls)*pol.svc.Batch.Call*3/2
 }
 
 // waitsForZone reports whether a job is better kept for its zone.
-func (sch *Scheduler) waitsForZone(now time.Time, pol *pool, job *job, zone string, jobs []*job) bool {
-	wait := sch.zoneWait(now, pol, zone, jobs, job.rank)
+func (sch *Scheduler) waitsForZone(now time.Time, pol *pool, job *job, zone string, zos *zones) bool {
+	wait := sch.zoneWait(now, pol, zone, zos)
 	if wait > farWait {
 		return false
 	}
--- a/core/sched/job.go
+++ b/core/sched/job.go
@@ -57,6 +57,10 @@
 	// left counts pieces that are not made, flying those that a call has.
 	left     int
 	inFlight int
+	// pullZone is where the stage is best made, once pullKnown: its inputs stay
+	// where they are while it is open.
+	pullZone  string
+	pullKnown bool
 	// ends is when the last call with pieces of it should end.
 	ends time.Time
 	// last stages are followed by no other; the engine gets their results.
@@ -308,6 +312,9 @@
 			}
 		}
 	}
+	for _, stg := range job.stages {
+		stg.pullKnown = false
+	}
 	if job.remade > mostRemade {
 		sch.end(now, job)
 		sch.out.Notify(Decision{Key: job.spec.Key, Outcome: Refused, Reason: "results-lost", After: soonest})
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -22,6 +22,8 @@
 	servers map[string]*server
 	// rates are the limits that servers name.
 	rates *rates.Book
+	// nextFill is when its servers are looked at again after they could take nothing.
+	nextFill time.Time
 	// waits are the usual waits of pieces for their call.
 	waits waits
 	// waiting are the pieces that wait for a server, by job.
@@ -133,6 +135,7 @@
 
 func (pol *pool) wait(now time.Time, pie *piece) {
 	pie.since = now
+	pol.nextFill = time.Time{}
 	pol.waiting[pie.job] = append(pol.waiting[pie.job], pie)
 }
 
@@ -246,6 +249,7 @@
 		delete(ser.made, pie)
 		ser.used -= pie.stage.size
 		ser.outOfMemoryUntil = time.Time{}
+		pie.stage.pool.nextFill = time.Time{}
 	}
 	pie.server = nil
 }
