--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -25,8 +25,7 @@
 	return set
 }
 
-// The largest forms the calls, then the eldest; one that leaves, isn't ready or
-// is silent doesn't, and an instance that sees nobody else does it itself.
+// The coordinator must not be one that leaves, is silent or is not ready.
 func TestCoordinatorFollowsFromMembers(t *testing.T) {
 	set := three()
 	require.Equal(t, "c", set.Coordinator(start))
@@ -63,8 +62,7 @@
 	require.True(t, reads(set, at(time.Second)), "eldest of its zone")
 }
 
-// A connection that something between its ends has lost track of stands open
-// and brings nothing. It must be cut, and dialled again.
+// A link whose connection was lost track of must not stay open for good.
 func TestSilentLinksAreCutAndDialledAnew(t *testing.T) {
 	set := three()
 	require.Empty(t, set.Silent(at(time.Second)))
@@ -90,8 +88,7 @@
 	require.Len(t, set.List(), 3)
 }
 
-// A zone is dark while all its known members are silent; the instance's own
-// never is.
+// A zone must not seem unreachable while one of its members is live.
 func TestUnreachableZones(t *testing.T) {
 	set := three()
 	require.Empty(t, set.UnreachableZones(start))
@@ -100,8 +97,7 @@
 	require.Empty(t, set.UnreachableZones(at(2*time.Second)))
 }
 
-// In a large fleet everybody links to two of each zone, the eldest; one that
-// can't be reached is passed over for a while.
+// A large fleet must not link all to all, nor depend on a hub that cannot be reached.
 func TestLargeFleetsLinkToHubs(t *testing.T) {
 	set := NewSet(Member{Address: "x", Zone: "z0", Born: 999, Share: 200})
 	var list []Member
@@ -121,9 +117,7 @@
 	return got
 }
 
-// The store is down and nobody has fresh news: all read, and each knows how many
-// do, so that they ask less often. Who reads for its zone asks as ever, and who
-// sees nobody else as well.
+// Readers of a store that is down must not all ask as often as one.
 func TestReadersKnowTheirCrowd(t *testing.T) {
 	alone := NewSet(Member{Address: "x", Zone: "z", Born: 9, Share: 100})
 	got, crowd := alone.Reader(start)
@@ -161,9 +155,7 @@
 	return set
 }
 
-// A hub of 300 would send 1,500 beats a second, and as many bytes as its whole
-// part of the link; in larger fleets all beat more slowly, and count a member as
-// silent as much later. Up to 200 members nothing changes.
+// Heartbeats must not outgrow the link of a hub.
 func TestBeatsSlowDownInLargeFleets(t *testing.T) {
 	require.Equal(t, 200*time.Millisecond, large(3).Period())
 	require.Equal(t, 200*time.Millisecond, large(200).Period())
@@ -179,8 +171,7 @@
 	}
 }
 
-// A beat that says that the last one holds keeps its sender live, but makes its
-// news of the store no younger.
+// A repeated heartbeat must not make its sender's news younger.
 func TestAgainKeepsWhatWasSaid(t *testing.T) {
 	set := large(20)
 	set.Heard(start, "a", Heartbeat{Ready: true, Fresh: time.Second, Version: 7})
@@ -193,9 +184,7 @@
 	require.EqualValues(t, -1, set.Again(start, "nobody").Fresh)
 }
 
-// Who links to hubs hears of most others through them alone. What a hub confirms
-// is not forgotten; what it no longer knows is, and a hub believes no other, so
-// that no two keep a dead member known between them.
+// Hubs must not keep a dead member known between them.
 func TestHubsConfirmMembers(t *testing.T) {
 	set := large(60)
 	own := set.Sums()
@@ -243,8 +232,7 @@
 	return num
 }
 
-// What is learnt goes to the hubs of all zones and to the own zone, not to all:
-// the others hear it from their own hubs.
+// What is learnt must not be sent to all members.
 func TestAudienceIsHubsAndTheOwnZone(t *testing.T) {
 	set := NewSet(Member{Address: "self", Zone: "z0", Born: 1, Share: 800})
 	for num := range 60 {
@@ -258,9 +246,7 @@
 	}
 }
 
-// All instances of a small fleet start together. Those of different zones know
-// seeds alone; whoever links to both first must name them to each other, or they
-// form calls side by side until a digest tells.
+// Members of a small fleet must not stay unknown to each other after a common start.
 func TestNewcomersAreNamedInASmallFleet(t *testing.T) {
 	set := three()
 	require.True(t, set.Names(start, "z1"))
@@ -272,8 +258,7 @@
 	require.False(t, set.Names(start, "z9"), "a hub names its own zone")
 }
 
-// An instance that has just started looks for others that may come up at any
-// moment, more often than one that has lost a link.
+// An instance that has just started must not wait for a redial to see the others.
 func TestStartedInstanceSeeksOften(t *testing.T) {
 	set := NewSet(Member{Address: "b", Zone: "z", Born: 20})
 	set.Seeds(start, []string{"a"})
@@ -292,9 +277,7 @@
 	require.False(t, set.Heard(start, "nobody", Heartbeat{Ready: true}))
 }
 
-// All instances of a large fleet start together. One dials a machine that is still
-// unreachable, and hears of its start a moment later. Passed over as a hub for the failure
-// before, it stays without a link, and others form calls beside it.
+// A hub must not be passed over for a failure before its start.
 func TestStartUndoesAFailureBefore(t *testing.T) {
 	set := NewSet(Member{Address: "m00", Zone: "z1", Born: 50, Share: 100})
 	var list []Member
--- a/core/sched/held_test.go
+++ b/core/sched/held_test.go
@@ -23,9 +23,7 @@
 	return spc
 }
 
-// The coordinator dies after the first stage of a request. The next is
-// transferBefore the request with its results, and goes on with the second stage: it
-// asks for nothing that was made, and gives the results up when they are used.
+// A successor must not ask again for what was made for a request before the coordinator was lost.
 func TestSuccessorGoesOnFromResults(t *testing.T) {
 	sch, out := newScheduler(both...)
 	sch.Submit(start, spec("r1", 2, 1))
@@ -44,9 +42,7 @@
 	require.Len(t, got.freed["s1"], 1)
 }
 
-// The coordinator dies when all stages are made and the word on the engine
-// was lost. The next finds an engine at once. What the last stage took is not
-// made again.
+// A request whose stages are complete must not wait or be made again when the coordinator is lost.
 func TestSuccessorPlacesWhatIsWhole(t *testing.T) {
 	sch, out := newScheduler(both...)
 	sch.Submit(start, spec("r1", 2, 1))
@@ -60,9 +56,7 @@
 	require.Equal(t, []string{"s1/r1-1-0"}, got.verdicts["r1"].Inputs)
 }
 
-// A request runs at its engine when the coordinator dies. The next gives
-// its results up at its first event, and with a run that ends without one goes
-// to another engine with them.
+// Results of a running request must not be lost, or kept for good, with the coordinator.
 func TestSuccessorAdoptsResultsOfWhatRuns(t *testing.T) {
 	sch, out := newScheduler(both...)
 	sch.Submit(start, spec("r1", 1, 1))
@@ -82,8 +76,7 @@
 	}
 }
 
-// An adopted run ends without an answer, and its results are not known. They
-// are made again.
+// An adopted run that ends without an answer must not wait for results that nobody knows.
 func TestAdoptedRunWithoutResultsBeginsAnew(t *testing.T) {
 	nxt, got := newScheduler(both...)
 	nxt.Adopt(start, spec("r1", 1, 1), "m1")
@@ -92,9 +85,7 @@
 	require.Equal(t, "f1", got.take()[0].Server.ID)
 }
 
-// Words on results are late, doubled or wrong. A result goes to no other
-// request, none twice, and no piece is left out: what isn't known for sure is
-// made again.
+// A late, doubled or wrong report of results must not give a request what is not its own.
 func TestWrongWordsCostAPieceOnly(t *testing.T) {
 	good := Held{Key: Key{"me", "r1"}, Stage: 0, Server: "f1", Pieces: []int{0}, Handles: []string{"h0"}, Expires: start.Add(4 * time.Second)}
 	change := func(fun func(*Held)) Held {
@@ -139,9 +130,7 @@
 	require.Len(t, spc.Held, 2)
 }
 
-// Results that were handed on are gone when their turn comes: their server was
-// lost meanwhile, or the earlier coordinator is alive and gave them up. The pieces
-// are made again, those before them too, whose results were used.
+// Transferred results that are gone must not leave their request without inputs.
 func TestHandedResultsThatAreGone(t *testing.T) {
 	nxt, got := newScheduler(both...)
 	spc := spec("r1", 1, 1)
@@ -159,8 +148,7 @@
 	require.Equal(t, "f1", got.take()[0].Server.ID, "the input of what is made again")
 }
 
-// Two instances form calls for a while, each with the same results. One ends the
-// request; the other finds its inputs gone and makes them again.
+// Two coordinators with the same results must not break the request of either.
 func TestTwoSuccessorsAreHarmless(t *testing.T) {
 	spc := spec("r1", 1, 1)
 	spc.Held = []Held{{Stage: 0, Server: "f1", Pieces: []int{0}, Handles: []string{"h0"}, Expires: start.Add(4 * time.Second)}}
@@ -177,10 +165,7 @@
 	require.Len(t, outTwo.verdicts["r1"].Inputs, 1)
 }
 
-// The earlier coordinator stood still, and wakes up when its requests were handed
-// on with their results. Given up by it, the instance that goes on would find
-// its inputs gone. What its calls under way bring nobody knows of: that it
-// gives up.
+// A coordinator that resumes must not give up results that its successor uses.
 func TestWokenFormerLeavesResultsAlone(t *testing.T) {
 	sch, out := newScheduler(both...)
 	sch.Submit(start, spec("r1", 1, 1))
@@ -194,8 +179,7 @@
 	require.Len(t, out.held, 1, "it tells nobody")
 }
 
-// A handed-on request is refused for a repeat without budget. Its results are
-// given up with it.
+// A transferred request that is refused must not leave its results at their servers.
 func TestRefusedRequestGivesHandedResultsUp(t *testing.T) {
 	out := &effects{freed: map[string][]string{}, verdicts: map[string]Decision{}}
 	sch := New(out, NewRetryBudget(0, 0, 10*time.Second), rates.NewBook())
@@ -210,8 +194,7 @@
 	require.Empty(t, out.take())
 }
 
-// A server is restarted under the same ID. What lay there before is not taken
-// for its own.
+// Results of a server before its restart must not be taken for what it holds now.
 func TestRebornServerHoldsNothing(t *testing.T) {
 	nxt, got := newScheduler(both...)
 	reborn := entry("first", "f1", "z")
@@ -225,8 +208,7 @@
 	require.Equal(t, "f1", got.take()[0].Server.ID)
 }
 
-// Words on results name what their requests have, in whatever form they are
-// published.
+// A stage without pieces must not make results count as used.
 func TestStagesWithoutPiecesAreNoReasonToGiveUp(t *testing.T) {
 	spc := Spec{Stages: []table.Stage{{Service: "first"}, {Service: "second", After: []int{0}}, {Service: "second", After: []int{1}}}, Pieces: []int{1, 1}}
 	spc.Keep(Held{Stage: 0, Server: "f1", Pieces: []int{0}, Handles: []string{"a"}})
@@ -235,10 +217,7 @@
 	require.Zero(t, spc.Held[0].Stage)
 }
 
-// The instance before was killed with a call under work at a server. What that
-// made fills half of the room, and nobody knows of it. The next instance fits
-// its calls into the other half, makes small results beside, and has the whole
-// room again when the unknown results have expired.
+// Untracked results must not be planned over, nor hold memory after they have expired.
 func TestUnknownResultsTakeRoomUntilTheyExpire(t *testing.T) {
 	sch, out := newScheduler(both...)
 	sch.Succeed(start)
@@ -269,9 +248,7 @@
 	require.Zero(t, ser.untracked)
 }
 
-// Half of a server's room is taken by unknown results. A queue must count as
-// twice as long as with all of it: taken for whole, the pool lets in twice what
-// fits, and everybody is late in turn.
+// Estimates must not count memory that untracked results take.
 func TestUnknownResultsCountInEstimates(t *testing.T) {
 	sch, _ := newScheduler(both...)
 	pol := sch.pools["first"]
--- a/core/sched/limit_test.go
+++ b/core/sched/limit_test.go
@@ -13,11 +13,7 @@
 	"lovagestream/core/table"
 )
 
-// All servers of a service are in need, and five times as many requests come as
-// they take. Callers saw their time pass in a queue that served whoever came last:
-// a place went to a new request on arrival, before those that waited. Each is
-// served in its time, or refused while there is time left to come back, and most of
-// the rate is used.
+// A limited service must not keep callers to the end of their time, nor leave its rate unused.
 func TestLimitedServiceRefusesInTime(t *testing.T) {
 	const (
 		rate     = 20
--- a/core/sched/pool_test.go
+++ b/core/sched/pool_test.go
@@ -10,11 +10,7 @@
 	"lovagestream/core/table"
 )
 
-// In the calm, calls carry a few pieces and take some milliseconds more than
-// their work. In the burst that follows they are full. What a piece takes must
-// be known well enough for the next call to be sent in time and for a queue to
-// be judged by its real length: taken for twice as long, half of the jobs in
-// time counted as late.
+// Small calls must not make pieces seem to take longer than they do in full ones.
 func TestPieceTimesAfterSmallCalls(t *testing.T) {
 	const each, over = 2500 * time.Microsecond, 20 * time.Millisecond
 	svc := &table.Service{Batch: &table.Batch{Calls: 1, Queue: 2, Size: 50, Call: 150 * time.Millisecond, Piece: 2600 * time.Microsecond}}
@@ -40,8 +36,7 @@
 	require.InDelta(t, 1, ser.slow, 0.15)
 }
 
-// Piece times that were learnt much too long are learnt again: a call that ends
-// early says so, whatever its server.
+// Piece times that were learnt too long must not stay so.
 func TestPieceTimesComeDown(t *testing.T) {
 	svc := &table.Service{Batch: &table.Batch{Calls: 1, Queue: 2, Size: 50, Call: 150 * time.Millisecond, Piece: 2500 * time.Microsecond}}
 	pol := newPool(svc, rates.NewBook())
@@ -58,12 +53,7 @@
 	require.Less(t, pol.time(knd), 4*time.Millisecond)
 }
 
-// All servers of a pool end their calls at one moment, each half as long again
-// as expected: another instance's calls were ahead of them. Each end says the
-// same once more, and must not be added to what the others said. Callers saw
-// what came of it: pieces counted as thirty times as long, everybody was
-// refused for a queue that wasn't there, and since nothing was made any more,
-// nothing was learnt that would have put it right.
+// Calls that are late for one reason must not multiply the time of a piece.
 func TestCallsThatEndTogetherTeachOnce(t *testing.T) {
 	const each, servers = 2500 * time.Microsecond, 16
 	svc := &table.Service{Batch: &table.Batch{Calls: 1, Queue: 2, Size: 50, Call: 150 * time.Millisecond, Piece: each}}
--- a/core/sched/scheduler_test.go
+++ b/core/sched/scheduler_test.go
@@ -77,8 +77,7 @@
 	sch.CallEnded(now, cal.Number, res, Answered)
 }
 
-// A request passes through its stages: pieces carry the key or all inputs, the
-// engine gets the last results, and everything is given up once it has them.
+// Pieces must not be sent without their inputs, nor results outlive their use.
 func TestWholePath(t *testing.T) {
 	sch, out := newScheduler(both...)
 	sch.Submit(start, spec("r1", 2, 1))
@@ -101,8 +100,7 @@
 	require.Zero(t, sch.Jobs())
 }
 
-// An engine sheds a request. Its results are there; made again they would cost
-// what others need, and the request its time.
+// A request that its engine sheds must not have its pieces made again.
 func TestRetryKeepsResults(t *testing.T) {
 	sch, out := newScheduler(both...)
 	sch.Submit(start, spec("r1", 1, 1))
@@ -133,8 +131,7 @@
 	require.Len(t, out.take(), 1, "the input lay at the server that was born coldStart")
 }
 
-// The room of a server is full of results. Sent all the same, a piece comes
-// back unmade after the whole call.
+// Pieces must not be sent to a server without memory for them.
 func TestRoomIsCounted(t *testing.T) {
 	sch, out := newScheduler(both...)
 	var sizes []int
@@ -155,9 +152,7 @@
 	require.Equal(t, []int{8, 8, 2}, sizes, "eighteen fit")
 }
 
-// Results are larger than published, and one piece finds no room. The server
-// must go on with others at once; one that rested for each such piece cost a
-// tenth of its pool in a burst.
+// One piece without memory must not keep its server from others.
 func TestPieceWithoutRoomDoesNotRestItsServer(t *testing.T) {
 	sch, out := newScheduler(both...)
 	sch.Submit(start, spec("a", 8, 1))
@@ -176,8 +171,7 @@
 	require.Greater(t, sch.pools["first"].servers["f1"].sizeFactor, 1.0)
 }
 
-// A caller leaves while its pieces are worked on: what was made is given up at
-// once, and what waits is withdrawn.
+// What was made for a caller that left must not stay at its servers.
 func TestLeavingCallerFreesEverything(t *testing.T) {
 	sch, out := newScheduler(both...)
 	sch.Submit(start, spec("r1", 3))
@@ -191,8 +185,7 @@
 	require.Zero(t, sch.Jobs())
 }
 
-// A refusal comes at once, with a wait that its caller can heed; nothing of the
-// request was sent. When the caller comes back, it is known.
+// A refusal must not come late, nor after anything of the request was sent.
 func TestRefusalAtTheDoor(t *testing.T) {
 	sch, out := newScheduler(both...)
 	refused := ""
@@ -223,10 +216,7 @@
 	require.Equal(t, start.Add(1500*time.Millisecond), job.spec.Aim)
 }
 
-// A zone is cut off, and packets to it vanish. Each call there would take over a
-// second to fail, server by server. Once its instances are silent, calls under
-// way are bounded, and one small call at a time finds out whether the servers
-// can be reached; when one answers, all are used again.
+// Servers of an unreachable zone must not each be found out by a call that takes its full time.
 func TestSilentZoneIsFoundOutOnce(t *testing.T) {
 	sch, out := newScheduler(entry("first", "f1", "y"), entry("first", "f2", "y"), entry("second", "s1", "z"), entry("model", "m1", "z"))
 	sch.Submit(start, spec("a", 8))
@@ -253,8 +243,7 @@
 	require.Empty(t, sch.suspicions)
 }
 
-// All engines are full. A place that becomes free must go to who is due first,
-// not to whoever comes to hand.
+// A free place must not go to whoever comes to hand before who is due first.
 func TestFreePlacesGoInOrder(t *testing.T) {
 	out := &effects{freed: map[string][]string{}, verdicts: map[string]Decision{}}
 	sch := New(out, NewRetryBudget(0.2, 10, 10*time.Second), rates.NewBook())
@@ -320,10 +309,7 @@
 	}
 }
 
-// The instance that formed the calls dies in a burst. Its results fill the
-// servers' room, and whoever takes over knows nothing of them. A call of which
-// nothing can be made ends at once; sent again at once, it came back twenty
-// times a second from each server, and jobs were given up after six times.
+// A server without memory must not be asked again at once, nor its jobs be dropped for it.
 func TestServerWithoutRoomRests(t *testing.T) {
 	sch, out := newScheduler(both...)
 	sch.Submit(start, spec("a", 8, 1))
@@ -349,8 +335,7 @@
 	require.NotEqual(t, "pieces-fail", out.verdicts["a"].Reason, "a server without room says nothing of its pieces")
 }
 
-// A server without room rests, and one of its results is given up. It has room
-// again, and must be asked at once.
+// A server that has memory again must not go on resting.
 func TestRoomThatIsGivenUpEndsTheRest(t *testing.T) {
 	sch, out := newScheduler(both...)
 	sch.Submit(start, spec("a", 4, 1))
@@ -369,9 +354,7 @@
 	require.Equal(t, "b", got[0].Items[0].ID)
 }
 
-// A queue of late jobs stands, and for a moment a rush takes all of the pool.
-// Held against that moment the whole queue was given up at once, and servers
-// stood idle a second later.
+// A short rush must not shed a queue that will be served after it.
 func TestQueueOutlivesARush(t *testing.T) {
 	sch, out := newScheduler(append(both, entry("first", "f2", "z"), entry("first", "f3", "z"))...)
 	for num := range 30 {
--- a/core/sched/transfer_test.go
+++ b/core/sched/transfer_test.go
@@ -7,10 +7,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Two instances formed calls while they didn't see each other; now one of them
-// does it for all. The other went on with what it had for seconds, with calls
-// that were all but empty and servers that others kept full. It must tell who has
-// its jobs now, without giving up what was made for them, and begin nothing more.
+// A coordinator that was succeeded must not go on with its jobs beside its successor.
 func TestJobsGoToWhoFormsTheCallsNow(t *testing.T) {
 	sch, out := newScheduler(both...)
 	sch.Submit(start, spec("made", 1, 1))
@@ -39,9 +36,7 @@
 	require.NotContains(t, out.verdicts, "again")
 }
 
-// Calls find a server without room. What was given up while the call ran was there
-// when it began; counted as gone by then, it passed for results that nobody knows
-// of, and the server was left half empty for four seconds.
+// Results given up during a call must not count as untracked ones.
 func TestRoomIsJudgedAtTheCallsTurn(t *testing.T) {
 	sch, out := newScheduler(both...)
 	sch.Succeed(start)
@@ -66,9 +61,7 @@
 	require.LessOrEqual(t, ser.untracked, sch.pools["first"].svc.Batch.Room-15*3_000_000)
 }
 
-// All instances started again. What they had left in the servers' room was made one
-// after the other, and expires so; what a single lost instance leaves was under
-// work together, and expires together.
+// What a cold start finds at servers must not hold its memory to the last expiry.
 func TestWhatAStartFoundExpiresByAndBy(t *testing.T) {
 	for _, coldStart := range []bool{true, false} {
 		sch, _ := newScheduler(both...)
