--- a/core/sched/finish.go
+++ b/core/sched/finish.go
@@ -27,7 +27,7 @@
 	case Full:
 		return "full"
 	case WrongServer:
-		return "stranger"
+		return "wrong-server"
 	}
 	return "unanswered"
 }
@@ -42,7 +42,7 @@
 	// half a call, since another instance's calls are at it.
 	fullRest = 80 * time.Millisecond
 	// sizeFactorStep is by how much results are taken for larger when a server had no
-	// room for a piece, and puffBack by how much less with each call that had;
+	// memory for a piece, and sizeFactorDecay by how much less with each call that had;
 	// maxSizeFactor bounds it. Published sizes are approximate.
 	sizeFactorStep  = 1.06
 	sizeFactorDecay = 0.995
@@ -181,15 +181,12 @@
 // updateSizeFactor learns from a call how large results are on this server.
 //
 // Load pattern: in a burst the room of every server is full to the last result.
-// A piece without room costs its part of a call; a server that rested for it
-// cost a tenth of its pool (two to three of seventeen servers at any time).
+// A piece without memory costs its part of a call; a server that rested for it
+// would be missing to its pool.
 //
-// Where none of a call's pieces found room, results that nobody knows of fill
-// it: those of an instance that formed calls before and died. Such a call ends
-// at once, and one sent again at once came back twenty times a second from each
-// server: it took the coordinator's processor and, after six times, every
-// job that needed the pool (20,000 pieces and 1,400 jobs within three seconds
-// of the loss of one of 75 instances).
+// Where none of a call's pieces found memory, untracked results fill it. Such a call
+// ends at once; sent again at once, it would take the coordinator's processor and use
+// up its pieces' tries.
 func (ser *server) updateSizeFactor(now time.Time, results []Result, askFull bool) {
 	without := 0
 	for _, res := range results {
--- a/core/sched/memory.go
+++ b/core/sched/memory.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Succeed notes that this instance forms the calls from now on, after another.
+// Succeed notes that this instance is the coordinator from now on, after another.
 func (sch *Scheduler) Succeed(now time.Time) {
 	sch.succeeded, sch.coldStart = now, false
 	sch.transferBefore = time.Time{}
@@ -15,7 +15,7 @@
 	sch.coldStart = true
 }
 
-// mayHoldUntracked reports whether results that nobody knows of may still lie at a
+// mayHoldUntracked reports whether untracked results may still lie at a
 // pool's servers: those of the calls that were under work when the instance
 // before this one was lost.
 func (sch *Scheduler) mayHoldUntracked(now time.Time, pol *pool) bool {
@@ -42,7 +42,7 @@
 		return false
 	}
 	// Room is looked for at the call's turn: what was given up since was still
-	// there, and taken for gone it would pass for results that nobody knows of.
+	// there, and taken for gone it would pass for untracked results.
 	known, least := act.held, int64(0)
 	for idx, res := range results {
 		size := act.pieces[idx].stage.size
@@ -66,7 +66,7 @@
 	return true
 }
 
-// untrackedBytes is the room that results take which nobody knows of.
+// untrackedBytes is the memory that untracked results take.
 //
 // Load pattern: a coordinator that is lost leaves those of the calls under
 // work, which expire together. Where all instances were lost some time ago, what
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -59,8 +59,8 @@
 	freeAt time.Time
 	// used is the room that results and calls under way take, in bytes.
 	used int64
-	// untracked is room that results took at hiddenAt which nobody knows of; the last
-	// of them expires at hiddenUntil, and others before if it fades.
+	// untracked is memory that untracked results took at untrackedAt; the last
+	// of them expires at untrackedUntil, and others before if it fades.
 	untracked      int64
 	fades          bool
 	untrackedAt    time.Time
--- a/core/sched/transfer.go
+++ b/core/sched/transfer.go
@@ -7,7 +7,7 @@
 )
 
 // Transfer ends the jobs that were submitted before a time, since another
-// instance forms the calls now, and tells their entry instances who. Jobs with
+// instance is the coordinator now, and tells their entry instances who. Jobs with
 // calls under way follow when these have ended. It reports how many went.
 //
 // Load pattern: all instances start again in the same moment, and each forms calls
