Zones are evacuated: nothing more goes to their servers

Cause: an operator takes a zone out by a key of its own in the store, and nothing read it. A second fault showed in the scripts: a request whose every model engine was leaving waited for its deadline and was then told that no time was left.

Change: the reader of the configuration reads all that the operator publishes by the same call (one range in place of one key, one watch of the prefix). A word on a zone is kept in the book of servers, so that it is ordered, compared, passed on and asked for as words on servers are, also by instances that lost the store or join later; one that was taken back is never forgotten. Servers of an evacuated zone get nothing new, as those that leave: no request, piece, resume, repeat, nor results given up. What runs there goes on to its end, and results that lie there may still be fetched by engines elsewhere: the rule counts what machines send. A request that no listed server could serve is refused at once, at the door and while it waits.

Ruled out: making the results of the zone's servers anew elsewhere. The rule is on requests from the system's machines; a fetch between engines is none, and the stage time would be spent twice in the moment in which a third of the servers is missing.

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -132,6 +132,17 @@
 	}
 }
 
+// Staffed reports whether the pool has a server that stays, whatever its load and
+// health.
+func (pol *Pool) Staffed() bool {
+	for _, eng := range pol.engines {
+		if !eng.ent.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
 // Ask is what a choice depends on.
 type Ask struct {
 	Parts  []call.Part
--- a/core/sched/order.go
+++ b/core/sched/order.go
@@ -254,6 +254,9 @@
 
 // admit decides on a job's whole path.
 func (sch *Scheduler) admit(now time.Time, job *job) (bool, time.Duration, string) {
+	if !sch.servable(job) {
+		return false, unknownWait, reasonNoServer
+	}
 	if job.spec.Again {
 		if !sch.repeats.Allow(now, job.spec.Service) {
 			return false, soonest, "no-repeats-left"
--- a/core/sched/shed.go
+++ b/core/sched/shed.go
@@ -63,7 +63,7 @@
 	left := job.spec.Give.Sub(now)
 	least := sch.least(job)
 	job.expected = least
-	if least > left {
+	if least > left || !sch.servable(job) {
 		return true
 	}
 	if wait := sch.limitWait(now, job); wait > left {
@@ -90,7 +90,10 @@
 	read := sch.survey(now, job)
 	after := retryAfter(now, job, sch.estimate(now, job, lateRank(job), read))
 	reason := "no-time-left"
-	if job.limited {
+	switch {
+	case !sch.servable(job):
+		after, reason = unknownWait, reasonNoServer
+	case job.limited:
 		reason = reasonLimited
 	}
 	sch.end(now, job)
--- a/core/stock/stock.go
+++ b/core/stock/stock.go
@@ -1,6 +1,6 @@
-// Package stock is what an entry instance knows of backend servers: entries
-// read from the platform or heard from other entry instances, in the order of
-// the store's revisions.
+// Package stock is what an entry instance knows of backend servers and of the
+// zones that were evacuated: entries read from the platform or heard from other
+// entry instances, in the order of the store's revisions.
 package stock
 
 import (
@@ -52,6 +52,9 @@
 // Book holds the latest word on each server.
 type Book struct {
 	byID map[string]*Known
+	// zones are those of which an evacuation is known, taken back or not. Their
+	// words stay: there are few, and one that was forgotten could come back.
+	zones map[string]bool
 	// sums are those of the words on servers that are not gone: graves are
 	// forgotten by each holder in its own time.
 	sums sums.Sums
@@ -69,7 +72,7 @@
 
 // NewBook returns an empty book.
 func NewBook() *Book {
-	return &Book{byID: map[string]*Known{}, buried: map[string]time.Time{}, held: map[string]heldRemoval{}}
+	return &Book{byID: map[string]*Known{}, zones: map[string]bool{}, buried: map[string]time.Time{}, held: map[string]heldRemoval{}}
 }
 
 // Change says what a word on a server did to the book.
@@ -96,9 +99,13 @@
 	if old != nil && got.Revision <= old.Revision {
 		return Stale
 	}
-	if old == nil && len(bok.byID) >= maxKnown {
+	zone, evacuates := got.Evacuates()
+	if old == nil && (len(bok.byID) >= maxKnown || evacuates && len(bok.zones) >= maxZones) {
 		return Overfull
 	}
+	if evacuates {
+		bok.zones[zone] = true
+	}
 	if got.Gone {
 		return bok.bury(now, old, got)
 	}
@@ -173,7 +180,7 @@
 		delete(bok.held, id)
 	}
 	for id, at := range bok.buried {
-		if now.Sub(at) > graveLife {
+		if now.Sub(at) > graveLife && !Reserved(id) {
 			delete(bok.buried, id)
 			delete(bok.byID, id)
 		}
@@ -186,7 +193,7 @@
 func (bok *Book) Missing(listed map[string]bool, revision int64) []string {
 	var out []string
 	for id, kno := range bok.byID {
-		if !kno.Gone && !listed[id] && kno.Revision < revision {
+		if !kno.Gone && !listed[id] && kno.Revision < revision && !Reserved(id) {
 			out = append(out, id)
 		}
 	}
@@ -227,13 +234,13 @@
 }
 
 // Len counts servers and graves.
-func (bok *Book) Len() int { return len(bok.byID) }
+func (bok *Book) Len() int { return len(bok.byID) - len(bok.zones) }
 
 // Live returns the entries that are not gone, leaving ones included, by ID.
 func (bok *Book) Live() []Entry {
 	out := make([]Entry, 0, len(bok.byID))
 	for _, kno := range bok.byID {
-		if !kno.Gone {
+		if !kno.Gone && !Reserved(kno.Entry.ID) {
 			out = append(out, kno.Entry)
 		}
 	}
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -109,6 +109,8 @@
 	live    []stock.Entry
 	servers map[string][]stock.Entry
 	left    map[string]bool
+	// evacuated are the addresses of servers in evacuated zones.
+	evacuated map[string]bool
 	// dirty says that servers or the configuration changed since surveyedAt.
 	dirty      bool
 	surveyedAt time.Time
@@ -261,8 +263,9 @@
 // requests.
 func (ctl *Control) survey(now time.Time) {
 	ctl.dirty, ctl.surveyedAt = false, now
-	ctl.live = ctl.usable()
-	ctl.servers, ctl.left = map[string][]stock.Entry{}, map[string]bool{}
+	evacuated := ctl.book.Evacuated()
+	ctl.live = ctl.usable(evacuated)
+	ctl.servers, ctl.left, ctl.evacuated = map[string][]stock.Entry{}, map[string]bool{}, map[string]bool{}
 	for _, kno := range ctl.book.All() {
 		if kno.Gone || kno.Entry.Leaving || ctl.wrongServer(kno) {
 			ctl.left[kno.Entry.ID] = true
@@ -272,6 +275,10 @@
 	for _, ent := range ctl.live {
 		ctl.servers[ent.Service] = append(ctl.servers[ent.Service], ent)
 		here[ent.ID] = true
+		if evacuated[ent.Zone] {
+			ctl.left[ent.ID] = true
+			ctl.evacuated[ent.Address] = true
+		}
 	}
 	ctl.limits.book.Forget(func(id string) bool { return !here[id] })
 	if ctl.tab != nil {
@@ -279,11 +286,13 @@
 	}
 }
 
-// usable lists live servers, without those whose address is another's now.
-func (ctl *Control) usable() []stock.Entry {
+// usable lists live servers, without those whose address is another's now. Those
+// of evacuated zones get nothing new, as servers that leave.
+func (ctl *Control) usable(evacuated map[string]bool) []stock.Entry {
 	all := ctl.book.Live()
 	out := all[:0]
 	for _, ent := range all {
+		ent.Leaving = ent.Leaving || evacuated[ent.Zone]
 		if _, have := ctl.wrongServers[ent.ID]; !have {
 			out = append(out, ent)
 		}
@@ -329,7 +338,10 @@
 func (ctl *Control) Stranger(ent stock.Entry) { ctl.post(evWrongServer{ent: ent}) }
 
 // Config takes what was read.
-func (ctl *Control) Config(doc follow.Document) { ctl.post(evConfig{doc: doc.Bytes}) }
+func (ctl *Control) Config(doc follow.Document, whole bool) {
+	ctl.post(evConfig{doc: doc.Bytes})
+	ctl.post(evEvacuations{words: doc.Evacuations, revision: doc.Revision, whole: whole})
+}
 
 // Servers takes what was read.
 func (ctl *Control) Servers(list follow.Listing, whole bool) {
--- a/io/edge/duties.go
+++ b/io/edge/duties.go
@@ -59,7 +59,7 @@
 // many of the servers that the platform lists.
 func (ctl *Control) states(now time.Time) {
 	listed := map[string]int{}
-	for _, ent := range ctl.usable() {
+	for _, ent := range ctl.live {
 		listed[ent.Service]++
 	}
 	for _, sta := range ctl.sched.States(now) {
--- a/io/edge/events.go
+++ b/io/edge/events.go
@@ -14,6 +14,9 @@
 type evConfig struct{ doc []byte }
 
 func (evt evConfig) apply(ctl *Control, now time.Time) {
+	if len(evt.doc) == 0 {
+		return
+	}
 	ctl.readConfig = true
 	ctl.adopt(now, evt.doc, "store")
 	ctl.verify(now)
@@ -90,12 +93,16 @@
 	return out
 }
 
-// put takes one word on a server in and reports whether it was news.
+// put takes one word in and reports whether it was news.
 func (ctl *Control) put(now time.Time, kno stock.Known, from string) bool {
 	got := ctl.book.Put(now, kno)
 	if got == stock.Stale {
 		return false
 	}
+	if zone, ok := kno.Evacuates(); ok {
+		ctl.noteEvacuation(zone, kno, got, from)
+		return got != stock.Overfull
+	}
 	if rev, have := ctl.wrongServers[kno.Entry.ID]; have && kno.Revision > rev {
 		delete(ctl.wrongServers, kno.Entry.ID)
 	}
--- a/io/edge/limits.go
+++ b/io/edge/limits.go
@@ -200,6 +200,11 @@
 // wait and go together: each is a request that counts.
 func (ctl *Control) sendFrees(now time.Time) {
 	for adr, handles := range ctl.frees {
+		if ctl.evacuated[adr] {
+			// Nothing more goes there; results expire by themselves.
+			delete(ctl.frees, adr)
+			continue
+		}
 		if lim, limited := ctl.limitAt(adr); limited {
 			pause := max(freeEvery, time.Duration(float64(time.Second)/(freeShare*lim.Own)))
 			if now.Sub(ctl.limits.freed[adr]) < pause {
--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -19,15 +19,21 @@
 // ErrHistoryGone means that changes after a revision can't be told any more.
 var ErrHistoryGone = errors.New("the store's history begins later")
 
-// Document is a configuration as published; Bytes is empty where there is none
-// or nothing new. Its fields, as those of Listing, are exported because a
-// client of the store fills them.
+// Document is what the operator published: a configuration, and zones to
+// evacuate. Bytes is empty where there is no configuration or no new one. Its
+// fields, as those of Listing, are exported because a client of the store fills
+// them.
 type Document struct {
 	// Revision is the store's, from which to follow.
 	Revision int64
 	Bytes    []byte
+	// Evacuations are words on zones; a reading names every evacuated one.
+	Evacuations []stock.Known
 }
 
+// empty reports a document that says nothing new.
+func (doc *Document) empty() bool { return len(doc.Bytes) == 0 && len(doc.Evacuations) == 0 }
+
 // Listing is what a reading or a change says of servers.
 type Listing struct {
 	Revision int64
@@ -49,8 +55,8 @@
 
 // Sink takes what is read.
 type Sink interface {
-	// Config brings a configuration.
-	Config(Document)
+	// Config brings a configuration; whole documents name every evacuated zone.
+	Config(doc Document, whole bool)
 	// Servers brings words on servers; whole listings name every server.
 	Servers(list Listing, whole bool)
 	// Store tells whether a call got its answer, before what the answer says. A
@@ -148,8 +154,8 @@
 			doc, err = rdr.src.WatchConfig(ctx, after, watchWait)
 		}
 		rdr.snk.Store(answered(err))
-		if err == nil && len(doc.Bytes) > 0 {
-			rdr.snk.Config(doc)
+		if err == nil && (after == 0 || !doc.empty()) {
+			rdr.snk.Config(doc, after == 0)
 		}
 		return doc.Revision, err
 	})
