Servers that may be cold get no more than they bear

Cause: engines that have started, or come back with an evacuated zone, bear some requests a second from all instances together and crash well above that. The published rate was read nowhere; coldness was only a price.

Change: core/rates holds such bounds beside the limits that servers name, in one bucket at the instance that schedules. A part of the fleet that is cut off has its part of the rate, without slack and from an empty bucket; an instance that has just started and sees nobody yet sends nearly nothing. A server counts as cold when its entry says so, when it starts while its service is known, and when its zone is taken back, whatever its entry says. Plain and stage servers are bound alike. Lines servers-cold and servers-warm, metrics servers-cold and servers-evacuated.

Ruled out: a fixed part of the rate for each zone or instance. 83 parts of 5.8 requests a second leave nobody one; a part for each zone loses two thirds where one coordinator places for all, which is the ordinary case. Asking health paths for coldness: each is priced as a probe, and entries say it within a heartbeat.

Conclusion: the bound holds by construction where it was luck before.

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -395,7 +395,7 @@
 // Load pattern: all engines of a service are in need at once. Who waits must be
 // told so at the door, by the rates: the engines themselves stand half empty.
 func (pol *Pool) LimitWait(now time.Time, ahead int) time.Duration {
-	if pol.rates.Len() == 0 {
+	if !pol.rates.Bounded() {
 		return 0
 	}
 	rate, may := 0.0, 0
@@ -403,11 +403,11 @@
 		if eng.ent.Leaving || !eng.rec.Usable(now) {
 			continue
 		}
-		lim, limited := pol.rates.Limit(id)
+		own, limited := pol.rates.Own(now, id)
 		if !limited {
 			return 0
 		}
-		rate += lim.Own
+		rate += own
 		if pol.rates.May(now, id) {
 			may++
 		}
--- a/core/rates/rates.go
+++ b/core/rates/rates.go
@@ -80,21 +80,35 @@
 // Book holds the limits that are in force.
 type Book struct {
 	rows map[string]*row
-	// part is what this instance may spend of each rate, above 0 and at most 1.
-	part float64
+	// colds are bounds on servers that may be cold.
+	colds map[string]*cold
+	// part is what this instance may spend of each rate, above 0 and at most 1;
+	// coldPart the same without slack.
+	part     float64
+	coldPart float64
+	// unsettled is set while the number of instances isn't known.
+	unsettled bool
 }
 
 // NewBook returns a book without limits.
-func NewBook() *Book { return &Book{rows: map[string]*row{}, part: 1} }
+func NewBook() *Book {
+	return &Book{rows: map[string]*row{}, colds: map[string]*cold{}, part: 1, coldPart: 1}
+}
 
 // SetPart takes in how many of the known entry instances this one sees: one of
 // two sides of a partition spends no more than its part of each rate.
 func (bok *Book) SetPart(now time.Time, live, known int) {
-	part := min(1, cutSlack*float64(max(1, live))/float64(max(1, known)))
-	if part == bok.part {
+	share := min(1, float64(max(1, live))/float64(max(1, known)))
+	part := min(1, cutSlack*share)
+	if part == bok.part && share == bok.coldPart {
 		return
 	}
-	bok.part = part
+	shrinks := share < bok.coldPart
+	bok.part, bok.coldPart = part, share
+	bok.refreshColds(now)
+	if shrinks {
+		bok.drainColds(now)
+	}
 	for _, row := range bok.rows {
 		bok.refresh(now, row)
 	}
@@ -177,6 +191,11 @@
 			delete(bok.rows, id)
 		}
 	}
+	for id := range bok.colds {
+		if gone(id) {
+			delete(bok.colds, id)
+		}
+	}
 }
 
 // speed is what this instance may send, in requests a second.
@@ -187,6 +206,9 @@
 
 // May reports whether a server may get a request now.
 func (bok *Book) May(now time.Time, server string) bool {
+	if one := bok.cold(now, server); one != nil && one.bucket.TokensAt(now) < 1 {
+		return false
+	}
 	old := bok.rows[server]
 	if old == nil {
 		return true
@@ -196,12 +218,20 @@
 
 // Until is how long it takes until a server may get a request.
 func (bok *Book) Until(now time.Time, server string) time.Duration {
-	old := bok.rows[server]
-	if old == nil {
-		return 0
+	var wait time.Duration
+	if one := bok.cold(now, server); one != nil {
+		wait = until(now, one.bucket, bok.coldSpeed(one))
+	}
+	if old := bok.rows[server]; old != nil {
+		wait = max(wait, until(now, old.bucket, bok.speed(old)))
 	}
-	lacking := 1 - old.bucket.TokensAt(now)
-	return max(0, time.Duration(lacking/bok.speed(old)*float64(time.Second)))
+	return wait
+}
+
+// until is when a bucket that fills at some requests a second holds one.
+func until(now time.Time, bucket *rate.Limiter, speed float64) time.Duration {
+	lacking := 1 - bucket.TokensAt(now)
+	return max(0, time.Duration(lacking/speed*float64(time.Second)))
 }
 
 // Take spends one request of a server's rate, if it has one, also where none is
@@ -210,8 +240,29 @@
 	if old := bok.rows[server]; old != nil {
 		old.bucket.ReserveN(now, 1)
 	}
+	if one := bok.cold(now, server); one != nil {
+		one.bucket.ReserveN(now, 1)
+	}
 }
 
+// Own is what this instance may send to a server, in requests a second; false
+// where nothing bounds it.
+func (bok *Book) Own(now time.Time, server string) (float64, bool) {
+	old, one := bok.rows[server], bok.cold(now, server)
+	switch {
+	case old != nil && one != nil:
+		return min(bok.speed(old), bok.coldSpeed(one)), true
+	case old != nil:
+		return bok.speed(old), true
+	case one != nil:
+		return bok.coldSpeed(one), true
+	}
+	return 0, false
+}
+
+// Bounded reports whether any server is bounded, by its own word or as cold.
+func (bok *Book) Bounded() bool { return len(bok.rows)+len(bok.colds) > 0 }
+
 // Limit is a limit in force.
 type Limit struct {
 	Server string
--- a/core/sched/order.go
+++ b/core/sched/order.go
@@ -159,7 +159,7 @@
 
 // queue counts a job among those that will want a server of its service.
 func (sch *Scheduler) queue(job *job) {
-	if sch.rates.Len() > 0 {
+	if sch.rates.Bounded() {
 		sch.queued[job.spec.Service]++
 	}
 }
@@ -168,7 +168,7 @@
 // behind what is queued.
 func (sch *Scheduler) limitWait(now time.Time, job *job) time.Duration {
 	eng := sch.engines[job.spec.Service]
-	if eng == nil || sch.rates.Len() == 0 {
+	if eng == nil || !sch.rates.Bounded() {
 		return 0
 	}
 	return eng.LimitWait(now, sch.queued[job.spec.Service])
@@ -193,14 +193,14 @@
 		if len(ser.inFlight) == 0 {
 			left = 0
 		}
-		if lim, limited := pol.rates.Limit(ser.ent.ID); limited {
-			calls += lim.Own
+		if own, limited := pol.rates.Own(now, ser.ent.ID); limited {
+			calls += own
 		} else {
 			free = true
 		}
 		bkl.work += left
 		bkl.first = min(bkl.first, max(left, pol.rates.Until(now, ser.ent.ID)))
-		bkl.servers += pol.worked(ser) * ser.freeMemory(now, pol.svc.Batch.Room) / max(1, ser.slowness(now))
+		bkl.servers += pol.worked(now, ser) * ser.freeMemory(now, pol.svc.Batch.Room) / max(1, ser.slowness(now))
 	}
 	if !free {
 		bkl.calls = calls
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -261,14 +261,14 @@
 
 // worked is the share of a server's time that its limit leaves it with full
 // calls, which are what it gets while work waits; 1 if it names none.
-func (pol *pool) worked(ser *server) float64 {
-	lim, limited := pol.rates.Limit(ser.ent.ID)
+func (pol *pool) worked(now time.Time, ser *server) float64 {
+	own, limited := pol.rates.Own(now, ser.ent.ID)
 	if !limited {
 		return 1
 	}
 	bat := pol.svc.Batch
 	length := bat.Call + time.Duration(bat.Size)*bat.Piece
-	return min(1, lim.Own*length.Seconds())
+	return min(1, own*length.Seconds())
 }
 
 // lead is how long before a call's expected end the next one is sent, so that
--- a/core/stock/stock.go
+++ b/core/stock/stock.go
@@ -233,6 +233,12 @@
 	return out
 }
 
+// Listed reports whether an ID is that of a server that is not gone.
+func (bok *Book) Listed(id string) bool {
+	kno := bok.byID[id]
+	return kno != nil && !kno.Gone
+}
+
 // Len counts servers and graves.
 func (bok *Book) Len() int { return len(bok.byID) - len(bok.zones) }
 
--- a/core/table/table.go
+++ b/core/table/table.go
@@ -110,6 +110,10 @@
 	Batch *Batch
 	// Model is nil for services that run no model.
 	Model *Model
+	// Cold is how long a server may be cold after its start; ColdRate is what it
+	// bears until then, in requests a second from all entry instances, 0 for any.
+	Cold     time.Duration
+	ColdRate float64
 }
 
 // Account is one client account.
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -109,6 +109,8 @@
 	live    []stock.Entry
 	servers map[string][]stock.Entry
 	left    map[string]bool
+	// colds are servers that may be cold, by when they are warm at the latest.
+	colds map[string]time.Time
 	// evacuated are the addresses of servers in evacuated zones.
 	evacuated map[string]bool
 	// dirty says that servers or the configuration changed since surveyedAt.
@@ -167,11 +169,12 @@
 		set: set, clk: clk, dec: dec, jou: jou, que: make(chan event, queueLength),
 		mem:  member.NewSet(member.Member{Address: set.Told, Zone: set.Zone, Born: born, Share: set.Share}),
 		book: stock.NewBook(), repeats: sched.NewRetryBudget(set.RepeatRatio, set.RepeatSlack, set.RepeatWindow), limits: newLimits(),
-		wrongServers: map[string]int64{}, waiters: map[string]*waiter{}, news: newNews(), said: said{missed: map[string]bool{}}, large: make(chan struct{}, largeMessages), ended: make(chan struct{}), relinked: map[string]bool{}, frees: map[string][]string{}, asked: map[string]int{},
+		wrongServers: map[string]int64{}, waiters: map[string]*waiter{}, news: newNews(), said: said{missed: map[string]bool{}}, large: make(chan struct{}, largeMessages), ended: make(chan struct{}), relinked: map[string]bool{}, frees: map[string][]string{}, colds: map[string]time.Time{}, asked: map[string]int{},
 		verified: true, startedAt: now, ticked: now, boot: bootTime(), coordinator: set.Told, reread: func() {},
 	}
 	ctl.sched = sched.New(ctl, ctl.repeats, ctl.limits.book)
 	ctl.sched.Start(now)
+	ctl.limits.book.SetUnsettled(now, true)
 	ctl.mem.Seeds(now, set.Seeds)
 	ctl.duty.Store(&follow.Duty{Reads: true, Crowd: 1})
 	ctl.stats.Store(ctl.state(now))
@@ -246,7 +249,7 @@
 	viw := &entry.View{
 		Table: ctl.tab, Servers: ctl.servers, Left: ctl.left, Verified: ctl.verified, Stopping: ctl.stopping,
 		Closing: ctl.closingAt, Marks: ctl.marks, Live: live, Known: known, Dark: ctl.unreachable,
-		Limited: ctl.limits.servers(), Paced: ctl.limits.services(ctl.servers),
+		Limited: ctl.limits.servers(), Paced: ctl.limits.services(now, ctl.servers),
 		Repeats: entry.RepeatLimits{Ratio: ctl.set.RepeatRatio, Slack: ctl.set.RepeatSlack, Window: ctl.set.RepeatWindow},
 	}
 	ctl.view.Store(viw)
@@ -281,6 +284,7 @@
 		}
 	}
 	ctl.limits.book.Forget(func(id string) bool { return !here[id] })
+	ctl.boundColds(now)
 	if ctl.tab != nil {
 		ctl.sched.Configure(now, ctl.tab, ctl.live)
 	}
--- a/io/edge/duties.go
+++ b/io/edge/duties.go
@@ -214,6 +214,7 @@
 		ctl.jou.Note("store-duty", lines.Fields{"reads": duty.Reads, "crowd": duty.Crowd})
 	}
 	ctl.limits.book.SetPart(now, live, known)
+	ctl.limits.book.SetUnsettled(now, now.Sub(ctl.startedAt) < seekTime)
 	ctl.repeats.SetPart(float64(live) / float64(max(1, known)) * repeatPart)
 }
 
--- a/io/edge/events.go
+++ b/io/edge/events.go
@@ -95,17 +95,24 @@
 
 // put takes one word in and reports whether it was news.
 func (ctl *Control) put(now time.Time, kno stock.Known, from string) bool {
+	listed := ctl.book.Listed(kno.Entry.ID)
 	got := ctl.book.Put(now, kno)
 	if got == stock.Stale {
 		return false
 	}
 	if zone, ok := kno.Evacuates(); ok {
 		ctl.noteEvacuation(zone, kno, got, from)
+		if got == stock.Removed {
+			ctl.suspectZone(now, zone)
+		}
 		return got != stock.Overfull
 	}
 	if rev, have := ctl.wrongServers[kno.Entry.ID]; have && kno.Revision > rev {
 		delete(ctl.wrongServers, kno.Entry.ID)
 	}
+	if !kno.Gone {
+		ctl.suspectCold(now, kno.Entry, got == stock.Reborn || !listed)
+	}
 	word := map[stock.Change]string{stock.Fresh: "listed", stock.Reborn: "reborn", stock.Removed: "gone", stock.Overfull: "no-room"}[got]
 	if got == stock.Fresh && kno.Entry.Leaving {
 		word = "leaving"
--- a/io/edge/gauges.go
+++ b/io/edge/gauges.go
@@ -23,11 +23,15 @@
 	// a server with all that they need.
 	limits   []rates.Limit
 	unplaced int
+	// colds counts servers that may be cold, evacuated the servers of evacuated
+	// zones.
+	colds     int
+	evacuated int
 }
 
 // state makes the stats of a moment.
 func (ctl *Control) state(now time.Time) *stats {
-	sta := &stats{servers: len(ctl.live), waiters: len(ctl.waiters), jobs: ctl.sched.Jobs(), coordinator: ctl.coordinator, reads: ctl.Duty().Reads, storeAge: -1, verified: ctl.verified, limits: ctl.limits.book.All(), unplaced: ctl.sched.Unplaced()}
+	sta := &stats{servers: len(ctl.live), waiters: len(ctl.waiters), jobs: ctl.sched.Jobs(), coordinator: ctl.coordinator, reads: ctl.Duty().Reads, storeAge: -1, verified: ctl.verified, limits: ctl.limits.book.All(), unplaced: ctl.sched.Unplaced(), colds: ctl.limits.book.Colds(), evacuated: len(ctl.evacuated)}
 	sta.live, sta.known = ctl.mem.Count(now)
 	if ctl.tab != nil {
 		sta.version = ctl.tab.Version()
@@ -54,6 +58,8 @@
 	read("store-age-ms", func(sta *stats) any { return sta.storeAge.Milliseconds() })
 	read("limits", func(sta *stats) any { return limitsRead(sta) })
 	read("requests-unplaced", func(sta *stats) any { return sta.unplaced })
+	read("servers-cold", func(sta *stats) any { return sta.colds })
+	read("servers-evacuated", func(sta *stats) any { return sta.evacuated })
 	read("verified", func(sta *stats) any { return sta.verified })
 	nod.gau.Read("requests-active", func() any { return nod.srv.Active() })
 	nod.gau.Read("connections-made", func() any { return nod.poo.Made() })
--- a/io/edge/limits.go
+++ b/io/edge/limits.go
@@ -53,15 +53,15 @@
 	return out
 }
 
-// services lists the services that have a limited server; nil if there are none.
-func (lim *limits) services(live map[string][]stock.Entry) map[string]bool {
-	if lim.book.Len() == 0 {
+// services lists the services that have a bounded server; nil if there are none.
+func (lim *limits) services(now time.Time, live map[string][]stock.Entry) map[string]bool {
+	if !lim.book.Bounded() {
 		return nil
 	}
 	out := map[string]bool{}
 	for name, list := range live {
 		for _, ent := range list {
-			if _, limited := lim.book.Limit(ent.ID); limited {
+			if _, limited := lim.book.Own(now, ent.ID); limited {
 				out[name] = true
 			}
 		}
@@ -158,7 +158,8 @@
 
 // settleLimits takes words into effect whose time has come.
 func (ctl *Control) settleLimits(now time.Time) {
-	if ctl.limits.book.Len() == 0 {
+	ctl.settleColds(now)
+	if !ctl.limits.book.Bounded() {
 		clear(ctl.limits.told)
 		clear(ctl.limits.freed)
 		return
@@ -205,8 +206,8 @@
 			delete(ctl.frees, adr)
 			continue
 		}
-		if lim, limited := ctl.limitAt(adr); limited {
-			pause := max(freeEvery, time.Duration(float64(time.Second)/(freeShare*lim.Own)))
+		if own, limited := ctl.limitAt(now, adr); limited {
+			pause := max(freeEvery, time.Duration(float64(time.Second)/(freeShare*own)))
 			if now.Sub(ctl.limits.freed[adr]) < pause {
 				continue
 			}
@@ -217,15 +218,16 @@
 	}
 }
 
-// limitAt returns the limit of the server at an address.
-func (ctl *Control) limitAt(address string) (rates.Limit, bool) {
-	if ctl.limits.book.Len() == 0 {
-		return rates.Limit{}, false
+// limitAt returns what the server at an address may get from this instance, in
+// requests a second; false where nothing bounds it.
+func (ctl *Control) limitAt(now time.Time, address string) (float64, bool) {
+	if !ctl.limits.book.Bounded() {
+		return 0, false
 	}
 	for _, ent := range ctl.live {
 		if ent.Address == address {
-			return ctl.limits.book.Limit(ent.ID)
+			return ctl.limits.book.Own(now, ent.ID)
 		}
 	}
-	return rates.Limit{}, false
+	return 0, false
 }
