The store's era goes before its revisions

Cause: in a drill the store may come back from a copy some seconds old. Revisions go back and are given out again, and everything known was ordered by them alone.

Change: a revision is an era and a count, one number of which the era has the high bits. So the order (era, count) holds in the book, its sums, held removals, wrong servers, evacuations and between instances without a change of their messages; in the first era the number is the count, as instances of the version before tell it. A watch whose answer is of another era, and pages of two, begin again from a whole reading, each reader at its own moment of 100 ms. In a new era, heard from the store or from a peer, removals and ends of evacuations wait 2.2 s, as after an outage. A copy brings no removed server back unless the server has reported since; a configuration never went back before.

Ruled out: era and revision as two fields in every message and sum; instances of the version before would order by half of it.

--- a/core/stock/evacuation.go
+++ b/core/stock/evacuation.go
@@ -11,7 +11,7 @@
 
 // Evacuation returns the operator's word on a zone: its servers get nothing more
 // until it is gone. Such words are ordered and compared as those on servers are.
-func Evacuation(zone string, revision int64, gone bool) Known {
+func Evacuation(zone string, revision Revision, gone bool) Known {
 	return Known{Revision: revision, Gone: gone, Entry: Entry{ID: evacuationID + zone, Zone: zone}}
 }
 
@@ -37,7 +37,7 @@
 
 // MissingZones returns the evacuated zones that a whole reading at a revision
 // doesn't name although the book has them from before it.
-func (bok *Book) MissingZones(listed map[string]bool, revision int64) []string {
+func (bok *Book) MissingZones(listed map[string]bool, revision Revision) []string {
 	var out []string
 	for zone := range bok.Evacuated() {
 		if !listed[zone] && bok.byID[evacuationID+zone].Revision < revision {
--- a/core/stock/evacuation_test.go
+++ b/core/stock/evacuation_test.go
@@ -48,7 +48,7 @@
 func TestEvacuationsAreBounded(t *testing.T) {
 	bok := NewBook()
 	for num := range maxZones {
-		bok.Put(start, Evacuation(string(rune('a'+num)), int64(num+1), false))
+		bok.Put(start, Evacuation(string(rune('a'+num)), Revision(num+1), false))
 	}
 	require.Equal(t, Overfull, bok.Put(start, Evacuation("one-more", 999, false)))
 }
--- a/core/stock/stock.go
+++ b/core/stock/stock.go
@@ -34,7 +34,7 @@
 // Known is an entry with the revision of the store under which it was read.
 type Known struct {
 	// Revision orders what is known of one ID.
-	Revision int64
+	Revision Revision
 	// Gone marks a server whose entry was removed.
 	Gone  bool
 	Entry Entry
@@ -66,7 +66,7 @@
 }
 
 type heldRemoval struct {
-	revision int64
+	revision Revision
 	until    time.Time
 }
 
@@ -93,7 +93,8 @@
 
 // Put takes one word in. An entry that was written late, with a lower sequence
 // than one already known of the same start, is dropped although its revision
-// is higher: a server that reported its leaving doesn't take it back.
+// is higher: a server that reported its leaving doesn't take it back. Nor does a
+// copy of the store, of a later era, bring back a server that was removed since.
 func (bok *Book) Put(now time.Time, got Known) Change {
 	old := bok.byID[got.Entry.ID]
 	if old != nil && got.Revision <= old.Revision {
@@ -109,7 +110,7 @@
 	if got.Gone {
 		return bok.bury(now, old, got)
 	}
-	if old != nil && late(old, &got) {
+	if old != nil && (late(old, &got) || revives(old, &got)) {
 		return Stale
 	}
 	delete(bok.buried, got.Entry.ID)
@@ -125,10 +126,10 @@
 func (bok *Book) set(kno *Known) {
 	id := kno.Entry.ID
 	if old := bok.byID[id]; old != nil && !old.Gone {
-		bok.sums.Drop(id, old.Revision)
+		bok.sums.Drop(id, int64(old.Revision))
 	}
 	if !kno.Gone {
-		bok.sums.Add(id, kno.Revision)
+		bok.sums.Add(id, int64(kno.Revision))
 	}
 	bok.byID[id] = kno
 }
@@ -140,6 +141,15 @@
 	return got.Entry.Sequence < old.Entry.Sequence
 }
 
+// revives reports a word of a later era on a removed server that says nothing
+// newer than what was known before its removal.
+func revives(old, got *Known) bool {
+	if !old.Gone || got.Revision.Era() == old.Revision.Era() || Reserved(got.Entry.ID) {
+		return false
+	}
+	return got.Entry.Born == old.Entry.Born && got.Entry.Sequence <= old.Entry.Sequence
+}
+
 func (bok *Book) bury(now time.Time, old *Known, got Known) Change {
 	grv := &Known{Revision: got.Revision, Gone: true, Entry: Entry{ID: got.Entry.ID}}
 	if old != nil {
@@ -156,7 +166,7 @@
 
 // Hold remembers a removal that takes effect at a later time unless the entry
 // is back by then.
-func (bok *Book) Hold(id string, revision int64, until time.Time) {
+func (bok *Book) Hold(id string, revision Revision, until time.Time) {
 	old := bok.byID[id]
 	if old == nil || old.Gone || revision <= old.Revision {
 		return
@@ -190,7 +200,7 @@
 
 // Missing returns the IDs that a whole listing at a revision doesn't name
 // although the book has them from before it.
-func (bok *Book) Missing(listed map[string]bool, revision int64) []string {
+func (bok *Book) Missing(listed map[string]bool, revision Revision) []string {
 	var out []string
 	for id, kno := range bok.byID {
 		if !kno.Gone && !listed[id] && kno.Revision < revision && !Reserved(id) {
--- a/core/stock/stock_test.go
+++ b/core/stock/stock_test.go
@@ -9,7 +9,7 @@
 
 var start = time.Unix(1000, 0)
 
-func word(id string, revision, sequence int64, leaving bool) Known {
+func word(id string, revision Revision, sequence int64, leaving bool) Known {
 	return Known{Revision: revision, Entry: Entry{ID: id, Service: "s", Address: "a", Sequence: sequence, Leaving: leaving}}
 }
 
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -102,7 +102,7 @@
 	marks   *marks.Table
 	// wrongServers are servers whose address answered for another, by the
 	// revision of their entry.
-	wrongServers map[string]int64
+	wrongServers map[string]stock.Revision
 	// live are the servers that can be used, servers the same by service, left
 	// those that can't; survey makes all three. Lists are never changed once
 	// made: views hold them.
@@ -154,7 +154,9 @@
 	storeDown   bool
 	// storeBack is when the store last answered after an outage.
 	storeBack time.Time
-	stale     bool
+	// era is the store's, the latest that was heard of.
+	era   int64
+	stale bool
 }
 
 var _ entry.Control = (*Control)(nil)
@@ -169,7 +171,7 @@
 		set: set, clk: clk, dec: dec, jou: jou, que: make(chan event, queueLength),
 		mem:  member.NewSet(member.Member{Address: set.Told, Zone: set.Zone, Born: born, Share: set.Share}),
 		book: stock.NewBook(), repeats: sched.NewRetryBudget(set.RepeatRatio, set.RepeatSlack, set.RepeatWindow), limits: newLimits(),
-		wrongServers: map[string]int64{}, waiters: map[string]*waiter{}, news: newNews(), said: said{missed: map[string]bool{}}, large: make(chan struct{}, largeMessages), ended: make(chan struct{}), relinked: map[string]bool{}, frees: map[string][]string{}, colds: map[string]time.Time{}, asked: map[string]int{},
+		wrongServers: map[string]stock.Revision{}, waiters: map[string]*waiter{}, news: newNews(), said: said{missed: map[string]bool{}}, large: make(chan struct{}, largeMessages), ended: make(chan struct{}), relinked: map[string]bool{}, frees: map[string][]string{}, colds: map[string]time.Time{}, asked: map[string]int{},
 		verified: true, startedAt: now, ticked: now, boot: bootTime(), coordinator: set.Told, reread: func() {},
 	}
 	ctl.sched = sched.New(ctl, ctl.repeats, ctl.limits.book)
--- a/io/edge/control_test.go
+++ b/io/edge/control_test.go
@@ -91,7 +91,7 @@
 	return ctl, lnk
 }
 
-func engine(id string, revision int64) stock.Known {
+func engine(id string, revision stock.Revision) stock.Known {
 	return stock.Known{Revision: revision, Entry: stock.Entry{ID: id, Service: "m", Address: id, Zone: "z", Slots: 8}}
 }
 
@@ -523,7 +523,7 @@
 	ctl, lnk := newControl(t)
 	var list []stock.Known
 	for num := range 3000 {
-		kno := engine("lovage-pool-"+strconv.Itoa(num), int64(num+10))
+		kno := engine("lovage-pool-"+strconv.Itoa(num), stock.Revision(num+10))
 		kno.Entry.Address = "10.1." + strconv.Itoa(num%250) + ".7:8000"
 		list = append(list, kno)
 	}
--- a/io/edge/duties.go
+++ b/io/edge/duties.go
@@ -175,9 +175,7 @@
 	for _, adr := range ctl.mem.Dial(now) {
 		ctl.lnk.Dial(adr)
 	}
-	if gone := ctl.book.Settle(now); len(gone) > 0 {
-		ctl.spread(gone, "")
-	}
+	ctl.settleRemovals(now)
 	ctl.settleLimits(now)
 	ctl.verify(now)
 	ctl.tellMembers(now)
--- a/io/edge/evacuation.go
+++ b/io/edge/evacuation.go
@@ -10,7 +10,7 @@
 // evEvacuations brings words on evacuated zones from the store.
 type evEvacuations struct {
 	words    []stock.Known
-	revision int64
+	revision stock.Revision
 	whole    bool
 }
 
@@ -19,8 +19,13 @@
 	if evt.whole {
 		words = append(words, ctl.missingZones(evt)...)
 	}
+	ctl.noteEra(now, evt.revision.Era())
 	var news []stock.Known
 	for _, kno := range words {
+		if kno.Gone && ctl.lapsing(now) {
+			ctl.book.Hold(kno.Entry.ID, kno.Revision, ctl.storeBack.Add(lapseTime))
+			continue
+		}
 		if ctl.put(now, kno, "store") {
 			news = append(news, kno)
 		}
--- a/io/edge/events.go
+++ b/io/edge/events.go
@@ -60,11 +60,10 @@
 	if evt.whole {
 		words = append(words, ctl.missing(evt.list)...)
 	}
+	ctl.noteEra(now, evt.list.Revision.Era())
 	var news []stock.Known
 	for _, kno := range words {
-		// Right after an outage, entries that lapsed in it come back by
-		// themselves; a removal counts only once they had time to.
-		if kno.Gone && now.Sub(ctl.storeBack) < lapseTime && !ctl.storeBack.IsZero() {
+		if kno.Gone && ctl.lapsing(now) {
 			ctl.book.Hold(kno.Entry.ID, kno.Revision, ctl.storeBack.Add(lapseTime))
 			continue
 		}
@@ -80,6 +79,34 @@
 	ctl.verify(now)
 }
 
+// lapsing reports whether removals don't count yet: right after an outage, or in
+// a new era, entries that lapsed or were lost come back by themselves.
+func (ctl *Control) lapsing(now time.Time) bool {
+	return !ctl.storeBack.IsZero() && now.Sub(ctl.storeBack) < lapseTime
+}
+
+// noteEra takes in that the store is in an era, as it said or as a peer has heard.
+// In a new one it has lost what was written last, until that is written again.
+func (ctl *Control) noteEra(now time.Time, era int64) {
+	if era <= ctl.era {
+		return
+	}
+	if ctl.book.Len() > 0 {
+		ctl.jou.Note("store-era", lines.Fields{"era": era, "before": ctl.era})
+		ctl.storeBack = now
+	}
+	ctl.era = era
+}
+
+// settleRemovals carries out the removals that waited for entries to come back.
+func (ctl *Control) settleRemovals(now time.Time) {
+	gone := ctl.book.Settle(now)
+	for _, kno := range gone {
+		ctl.noteWord(now, kno, stock.Removed, "store")
+	}
+	ctl.spread(gone, "")
+}
+
 // missing makes removals of servers that a whole listing doesn't name.
 func (ctl *Control) missing(list follow.Listing) []stock.Known {
 	listed := map[string]bool{}
@@ -100,25 +127,32 @@
 	if got == stock.Stale {
 		return false
 	}
+	ctl.noteEra(now, kno.Revision.Era())
+	if rev, have := ctl.wrongServers[kno.Entry.ID]; have && kno.Revision > rev {
+		delete(ctl.wrongServers, kno.Entry.ID)
+	}
+	if !kno.Gone && !stock.Reserved(kno.Entry.ID) {
+		ctl.suspectCold(now, kno.Entry, got == stock.Reborn || !listed)
+	}
+	ctl.noteWord(now, kno, got, from)
+	return got != stock.Overfull
+}
+
+// noteWord writes what a word changed, and spares the servers of a zone that is
+// taken back.
+func (ctl *Control) noteWord(now time.Time, kno stock.Known, got stock.Change, from string) {
 	if zone, ok := kno.Evacuates(); ok {
 		ctl.noteEvacuation(zone, kno, got, from)
 		if got == stock.Removed {
 			ctl.suspectZone(now, zone)
 		}
-		return got != stock.Overfull
-	}
-	if rev, have := ctl.wrongServers[kno.Entry.ID]; have && kno.Revision > rev {
-		delete(ctl.wrongServers, kno.Entry.ID)
-	}
-	if !kno.Gone {
-		ctl.suspectCold(now, kno.Entry, got == stock.Reborn || !listed)
+		return
 	}
 	word := map[stock.Change]string{stock.Fresh: "listed", stock.Reborn: "reborn", stock.Removed: "gone", stock.Overfull: "no-room"}[got]
 	if got == stock.Fresh && kno.Entry.Leaving {
 		word = "leaving"
 	}
 	ctl.jou.Note("server-"+word, lines.Fields{"server": kno.Entry.ID, "service": kno.Entry.Service, "zone": kno.Entry.Zone, "revision": kno.Revision, "from": from})
-	return got != stock.Overfull
 }
 
 type evStore struct{ err error }
--- a/io/edge/large_test.go
+++ b/io/edge/large_test.go
@@ -131,7 +131,7 @@
 	que   parcels
 	nums  int
 	// The store: its revision, a document and entries.
-	revision int64
+	revision stock.Revision
 	document []byte
 	entries  map[string]stock.Known
 	version  int64
--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -16,7 +16,8 @@
 	"lovagestream/io/lines"
 )
 
-// ErrHistoryGone means that changes after a revision can't be told any more.
+// ErrHistoryGone means that changes after a revision can't be told any more, or
+// that the store has entered another era since.
 var ErrHistoryGone = errors.New("the store's history begins later")
 
 // Document is what the operator published: a configuration, and zones to
@@ -25,7 +26,7 @@
 // them.
 type Document struct {
 	// Revision is the store's, from which to follow.
-	Revision int64
+	Revision stock.Revision
 	Bytes    []byte
 	// Evacuations are words on zones; a reading names every evacuated one.
 	Evacuations []stock.Known
@@ -36,7 +37,7 @@
 
 // Listing is what a reading or a change says of servers.
 type Listing struct {
-	Revision int64
+	Revision stock.Revision
 	Words    []stock.Known
 	// Faults are entries that could not be read.
 	Faults []error
@@ -46,9 +47,9 @@
 // is over; it may return ErrHistoryGone.
 type Source interface {
 	Config(ctx context.Context) (Document, error)
-	WatchConfig(ctx context.Context, after int64, wait time.Duration) (Document, error)
+	WatchConfig(ctx context.Context, after stock.Revision, wait time.Duration) (Document, error)
 	Servers(ctx context.Context) (Listing, error)
-	WatchServers(ctx context.Context, after int64, wait time.Duration) (Listing, error)
+	WatchServers(ctx context.Context, after stock.Revision, wait time.Duration) (Listing, error)
 	// Reset closes kept connections.
 	Reset()
 }
@@ -89,6 +90,8 @@
 	// settlePause is how long a process that has just started waits after its first
 	// reading before it follows changes: by then it knows whether others do.
 	settlePause = 700 * time.Millisecond
+	// rereadSpread is the time over which readers read everything again.
+	rereadSpread = 100 * time.Millisecond
 	// idlePoll is how often an instance without the duty looks whether it has
 	// it.
 	idlePoll = 100 * time.Millisecond
@@ -150,17 +153,17 @@
 // found is what one call brought.
 type found struct {
 	// revision is from where to go on.
-	revision int64
+	revision stock.Revision
 	// pause is how long to let more gather.
 	pause time.Duration
 }
 
 // step does one call.
-type step func(ctx context.Context, after int64) (found, error)
+type step func(ctx context.Context, after stock.Revision) (found, error)
 
 // Configs follows the configuration until the context ends.
 func (rdr *Reader) Configs(ctx context.Context) error {
-	return rdr.follow(ctx, "configuration", func(ctx context.Context, after int64) (found, error) {
+	return rdr.follow(ctx, "configuration", func(ctx context.Context, after stock.Revision) (found, error) {
 		var doc Document
 		var err error
 		if after == 0 {
@@ -178,7 +181,7 @@
 
 // Lists follows the servers until the context ends.
 func (rdr *Reader) Lists(ctx context.Context) error {
-	return rdr.follow(ctx, "servers", func(ctx context.Context, after int64) (found, error) {
+	return rdr.follow(ctx, "servers", func(ctx context.Context, after stock.Revision) (found, error) {
 		var lst Listing
 		var err error
 		if after == 0 {
@@ -223,7 +226,7 @@
 }
 
 func (rdr *Reader) follow(ctx context.Context, what string, do step) error {
-	var after int64
+	var after stock.Revision
 	settled := false
 	rnd := rand.New(rand.NewPCG(rdr.seed, uint64(len(what))))
 	bac := &backoff{}
@@ -243,8 +246,10 @@
 			continue
 		}
 		if errors.Is(err, ErrHistoryGone) {
-			rdr.jou.Note("store-history-gone", lines.Fields{"what": what, "after": after})
+			rdr.jou.Note("store-history-gone", lines.Fields{"what": what, "after": after, "error": err.Error()})
 			after = 0
+			// The readers of all zones see it at the same moment.
+			_ = rdr.clk.Sleep(ctx, time.Duration(rnd.Int64N(int64(rereadSpread))))
 			continue
 		}
 		if err != nil {
@@ -272,7 +277,7 @@
 	return nil
 }
 
-func (rdr *Reader) once(ctx context.Context, what string, after int64, do step) (found, int, error) {
+func (rdr *Reader) once(ctx context.Context, what string, after stock.Revision, do step) (found, int, error) {
 	limit := readTime
 	if after > 0 {
 		limit = watchWait + watchSlack
--- a/io/follow/reads_test.go
+++ b/io/follow/reads_test.go
@@ -22,14 +22,16 @@
 	calls  atomic.Int64
 }
 
-func (reg *registering) revision() int64 { return 1 + int64(time.Since(reg.begun)/reg.period) }
+func (reg *registering) revision() stock.Revision {
+	return 1 + stock.Revision(time.Since(reg.begun)/reg.period)
+}
 
 func (reg *registering) Config(context.Context) (Document, error) {
 	reg.calls.Add(1)
 	return Document{Revision: reg.revision(), Bytes: []byte("1")}, nil
 }
 
-func (reg *registering) WatchConfig(ctx context.Context, after int64, wait time.Duration) (Document, error) {
+func (reg *registering) WatchConfig(ctx context.Context, after stock.Revision, wait time.Duration) (Document, error) {
 	reg.calls.Add(1)
 	_ = clock.System{}.Sleep(ctx, wait)
 	return Document{Revision: after}, ctx.Err()
@@ -40,7 +42,7 @@
 	return Listing{Revision: reg.revision()}, nil
 }
 
-func (reg *registering) WatchServers(ctx context.Context, after int64, _ time.Duration) (Listing, error) {
+func (reg *registering) WatchServers(ctx context.Context, after stock.Revision, _ time.Duration) (Listing, error) {
 	reg.calls.Add(1)
 	for reg.revision() <= after && ctx.Err() == nil {
 		_ = clock.System{}.Sleep(ctx, time.Millisecond)
@@ -60,7 +62,7 @@
 func (tak *taking) Config(Document, bool) {}
 func (tak *taking) Store(error)           {}
 
-func (tak *taking) Servers(lst Listing, _ bool) { tak.last.Store(lst.Revision) }
+func (tak *taking) Servers(lst Listing, _ bool) { tak.last.Store(lst.Revision.Count()) }
 
 // Servers that register one by one must not cost every reader a call for each.
 func TestRegistrationsAreGathered(t *testing.T) {
--- a/io/mesh/message.go
+++ b/io/mesh/message.go
@@ -236,13 +236,13 @@
 func fromServer(kno stock.Known) *wire.Server {
 	ent := kno.Entry
 	return &wire.Server{
-		Id: ent.ID, Revision: kno.Revision, Gone: kno.Gone, Service: ent.Service, Address: ent.Address, Zone: ent.Zone,
+		Id: ent.ID, Revision: int64(kno.Revision), Gone: kno.Gone, Service: ent.Service, Address: ent.Address, Zone: ent.Zone,
 		Version: ent.Version, Slots: int32(ent.Slots), Leaving: ent.Leaving, Cold: ent.Cold.Milliseconds(), Sequence: ent.Sequence, Born: ent.Born,
 	}
 }
 
 func toServer(ser *wire.Server) stock.Known {
-	return stock.Known{Revision: ser.GetRevision(), Gone: ser.GetGone(), Entry: stock.Entry{
+	return stock.Known{Revision: stock.Revision(ser.GetRevision()), Gone: ser.GetGone(), Entry: stock.Entry{
 		ID: ser.GetId(), Service: ser.GetService(), Address: ser.GetAddress(), Zone: ser.GetZone(), Version: ser.GetVersion(),
 		Slots: int(ser.GetSlots()), Leaving: ser.GetLeaving(), Cold: time.Duration(ser.GetCold()) * time.Millisecond, Sequence: ser.GetSequence(), Born: ser.GetBorn(),
 	}}
