A crowd of readers waits before its first call to the store

Cause: when the store is down or silent, every instance that has no fresh news reads for want of it. Each begins with pauses of 60 ms that double, so that 83 instances make 812 calls in the eight seconds of an outage, most of them in its first second, just when the store is weak; and the pause of a crowd stopped growing at 60 instances.

Change: an instance that is one of more than ten readers for the same reason waits before its first call and begins at the longest pause, which grows with the crowd up to 400. The eldest of each zone asks as often as before, whatever the others do.

The test of 60 readers is red on the code before.

--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -82,7 +82,7 @@
 	// of more grow with their number, up to mostCrowd times. What one of them
 	// reads all hear at once, so that they need not all ask often.
 	crowdSize = 10
-	mostCrowd = 6
+	mostCrowd = 40
 	// gatherPause is how long changes of servers are let gather after some were
 	// heard. Entries come one by one while many servers start, leave or lapse; each
 	// would cost every reader a call.
@@ -214,29 +214,38 @@
 	pause time.Duration
 }
 
-// next returns how long to wait after another failure; half of it is random.
+// next returns how long to wait after another failure, or before the first call of
+// a crowd; half of it is random.
 //
-// Load pattern: the store is down, nobody has fresh news, and all instances ask.
-// 75 of them made 2,000 calls in eight seconds, which the platform must bear
-// just when it is weak.
+// Load pattern: the store is down, nobody has fresh news, and all instances ask,
+// which the platform must bear just when it is weak. A zone's eldest go on asking
+// often; the others look only in case the store turns those away.
 func (bac *backoff) next(crowd int, rnd *rand.Rand) time.Duration {
 	bac.pause = min(longestPause, max(firstPause, 2*bac.pause))
+	if crowd > crowdSize {
+		bac.pause = longestPause
+	}
 	wait := bac.pause * time.Duration(min(mostCrowd, max(1, crowd/crowdSize)))
 	return wait/2 + time.Duration(rnd.Int64N(int64(wait/2)))
 }
 
 func (rdr *Reader) follow(ctx context.Context, what string, do step) error {
 	var after stock.Revision
-	settled := false
+	settled, crowded := false, false
 	rnd := rand.New(rand.NewPCG(rdr.seed, uint64(len(what))))
 	bac := &backoff{}
 	for ctx.Err() == nil {
 		duty := rdr.duty()
 		if !duty.Reads {
-			after, bac.pause = 0, 0
+			after, bac.pause, crowded = 0, 0, false
 			_ = rdr.clk.Sleep(ctx, idlePoll)
 			continue
 		}
+		if duty.Crowd > crowdSize && !crowded {
+			crowded = true
+			_ = rdr.clk.Sleep(ctx, bac.next(duty.Crowd, rnd))
+			continue
+		}
 		got, starts, err := rdr.once(ctx, what, after, do)
 		if ctx.Err() != nil {
 			return nil
--- a/io/follow/reads_test.go
+++ b/io/follow/reads_test.go
@@ -78,6 +78,26 @@
 	require.LessOrEqual(t, reg.calls.Load(), int64(2+2*time.Second/gatherPause))
 }
 
+// The store is down and a large fleet loses its news at one moment: the others must
+// not all ask at once, nor go on after somebody has news again.
+func TestCrowdWaitsBeforeItAsks(t *testing.T) {
+	reg := &registering{period: 10 * time.Millisecond, begun: time.Now()}
+	var reads atomic.Bool
+	reads.Store(true)
+	jou := lines.New(&bytes.Buffer{}, clock.System{})
+	grp := group.New(context.Background())
+	const crowd = 60
+	for num := range crowd {
+		rdr := New(reg, &taking{}, clock.System{}, jou, func() Duty { return Duty{Reads: reads.Load(), Crowd: crowd} }, uint64(num))
+		grp.Go(rdr.Lists)
+	}
+	time.Sleep(2 * time.Second)
+	reads.Store(false)
+	time.Sleep(5 * time.Second)
+	grp.Stop()
+	require.LessOrEqual(t, reg.calls.Load(), int64(crowd/2))
+}
+
 // A process that starts where others read already must read once, and not follow.
 func TestStarterReadsOnce(t *testing.T) {
 	reg := &registering{period: 10 * time.Millisecond, begun: time.Now()}
