io/follow: the following of one thing has a type of its own

Cause: the loop that follows the store had grown to 55 lines with five kinds of pauses, and the bound on cold servers was named after its end (Warm).

Change: loop holds how far the following has come and decides on pauses; each case stands once. rates.Warm is WarmUp, Colds is ColdServers. No behaviour changes; the package's tests hold.

--- a/core/rates/cold.go
+++ b/core/rates/cold.go
@@ -24,9 +24,9 @@
 // coldDepth is how many requests a cold server may get at once.
 const coldDepth = 2
 
-// Warm is how long a server may still be cold and what it bears until then, in
+// WarmUp is how long a server may still be cold and what it bears until then, in
 // requests a second from all entry instances.
-type Warm struct {
+type WarmUp struct {
 	Server string
 	Rate   float64
 	Until  time.Time
@@ -34,7 +34,7 @@
 
 // SetCold bounds what a server gets until a time. It reports whether the server
 // was not bound before.
-func (bok *Book) SetCold(now time.Time, wrm Warm) bool {
+func (bok *Book) SetCold(now time.Time, wrm WarmUp) bool {
 	if wrm.Rate <= 0 || !wrm.Until.After(now) {
 		return false
 	}
@@ -115,5 +115,5 @@
 	return one
 }
 
-// Colds counts the servers that may be cold.
-func (bok *Book) Colds() int { return len(bok.colds) }
+// ColdServers counts the servers that may be cold.
+func (bok *Book) ColdServers() int { return len(bok.colds) }
--- a/core/rates/cold_test.go
+++ b/core/rates/cold_test.go
@@ -29,7 +29,7 @@
 		for range parts {
 			bok := NewBook()
 			bok.SetPart(start, all, all)
-			bok.SetCold(start, Warm{Server: "s", Rate: coldRate, Until: start.Add(4 * time.Second)})
+			bok.SetCold(start, WarmUp{Server: "s", Rate: coldRate, Until: start.Add(4 * time.Second)})
 			books = append(books, bok)
 		}
 		var sent []time.Time
@@ -65,7 +65,7 @@
 	for range 80 {
 		bok := NewBook()
 		bok.SetUnsettled(start, true)
-		bok.SetCold(start, Warm{Server: "s", Rate: coldRate, Until: start.Add(4 * time.Second)})
+		bok.SetCold(start, WarmUp{Server: "s", Rate: coldRate, Until: start.Add(4 * time.Second)})
 		for past := time.Duration(0); past < 800*time.Millisecond; past += 10 * time.Millisecond {
 			if now := start.Add(past); bok.May(now, "s") {
 				bok.Take(now, "s")
@@ -79,9 +79,9 @@
 // A bound ends with its time; one that began later lasts as long as its own.
 func TestColdServersGetWarm(t *testing.T) {
 	bok := NewBook()
-	require.True(t, bok.SetCold(start, Warm{Server: "s", Rate: 1, Until: start.Add(time.Second)}))
-	require.False(t, bok.SetCold(start, Warm{Server: "s", Rate: 1, Until: start.Add(3 * time.Second)}), "bound already")
-	require.False(t, bok.SetCold(start, Warm{Server: "t", Until: start.Add(time.Second)}), "bears anything")
+	require.True(t, bok.SetCold(start, WarmUp{Server: "s", Rate: 1, Until: start.Add(time.Second)}))
+	require.False(t, bok.SetCold(start, WarmUp{Server: "s", Rate: 1, Until: start.Add(3 * time.Second)}), "bound already")
+	require.False(t, bok.SetCold(start, WarmUp{Server: "t", Until: start.Add(time.Second)}), "bears anything")
 	require.True(t, bok.Bounded())
 	require.False(t, bok.May(start, "s"))
 	require.InDelta(t, time.Second, bok.Until(start, "s"), float64(time.Millisecond))
--- a/io/edge/cold.go
+++ b/io/edge/cold.go
@@ -68,12 +68,12 @@
 		if !may || svc == nil {
 			continue
 		}
-		if ctl.limits.book.SetCold(now, rates.Warm{Server: ent.ID, Rate: svc.ColdRate, Until: until}) {
+		if ctl.limits.book.SetCold(now, rates.WarmUp{Server: ent.ID, Rate: svc.ColdRate, Until: until}) {
 			services[ent.Service]++
 		}
 	}
 	for name, num := range services {
-		ctl.jou.Note("servers-cold", lines.Fields{"service": name, "servers": num, "all": ctl.limits.book.Colds()})
+		ctl.jou.Note("servers-cold", lines.Fields{"service": name, "servers": num, "all": ctl.limits.book.ColdServers()})
 	}
 }
 
@@ -85,7 +85,7 @@
 		}
 	}
 	if warm := ctl.limits.book.SettleColds(now); len(warm) > 0 {
-		ctl.jou.Note("servers-warm", lines.Fields{"servers": len(warm), "cold": ctl.limits.book.Colds()})
+		ctl.jou.Note("servers-warm", lines.Fields{"servers": len(warm), "cold": ctl.limits.book.ColdServers()})
 		ctl.stale = true
 	}
 }
--- a/io/edge/gauges.go
+++ b/io/edge/gauges.go
@@ -31,7 +31,7 @@
 
 // state makes the stats of a moment.
 func (ctl *Control) state(now time.Time) *stats {
-	sta := &stats{servers: len(ctl.live), waiters: len(ctl.waiters), jobs: ctl.sched.Jobs(), coordinator: ctl.coordinator, reads: ctl.Duty().Reads, storeAge: -1, verified: ctl.verified, limits: ctl.limits.book.All(), unplaced: ctl.sched.Unplaced(), colds: ctl.limits.book.Colds(), evacuated: len(ctl.evacuated)}
+	sta := &stats{servers: len(ctl.live), waiters: len(ctl.waiters), jobs: ctl.sched.Jobs(), coordinator: ctl.coordinator, reads: ctl.Duty().Reads, storeAge: -1, verified: ctl.verified, limits: ctl.limits.book.All(), unplaced: ctl.sched.Unplaced(), colds: ctl.limits.book.ColdServers(), evacuated: len(ctl.evacuated)}
 	sta.live, sta.known = ctl.mem.Count(now)
 	if ctl.tab != nil {
 		sta.version = ctl.tab.Version()
--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -229,55 +229,30 @@
 	return wait/2 + time.Duration(rnd.Int64N(int64(wait/2)))
 }
 
+// loop is how far the following of one thing has come.
+type loop struct {
+	what string
+	// after is the revision to go on from, 0 to read everything.
+	after stock.Revision
+	// settled is set once the pause after a process's first reading has begun,
+	// crowded once the pause before a crowd's first call has.
+	settled bool
+	crowded bool
+	bac     backoff
+	rnd     *rand.Rand
+}
+
 func (rdr *Reader) follow(ctx context.Context, what string, do step) error {
-	var after stock.Revision
-	settled, crowded := false, false
-	rnd := rand.New(rand.NewPCG(rdr.seed, uint64(len(what))))
-	bac := &backoff{}
+	lop := &loop{what: what, rnd: rand.New(rand.NewPCG(rdr.seed, uint64(len(what))))}
 	for ctx.Err() == nil {
 		duty := rdr.duty()
-		if !duty.Reads {
-			after, bac.pause, crowded = 0, 0, false
-			_ = rdr.clk.Sleep(ctx, idlePoll)
-			continue
-		}
-		if duty.Crowd > crowdSize && !crowded {
-			crowded = true
-			_ = rdr.clk.Sleep(ctx, bac.next(duty.Crowd, rnd))
-			continue
-		}
-		got, starts, err := rdr.once(ctx, what, after, do)
-		if ctx.Err() != nil {
-			return nil
-		}
-		if rdr.restarted(starts) {
-			after = 0
-			continue
-		}
-		if errors.Is(err, ErrHistoryGone) {
-			rdr.jou.Note("store-history-gone", lines.Fields{"what": what, "after": after, "error": err.Error()})
-			after = 0
-			// The readers of all zones see it at the same moment.
-			_ = rdr.clk.Sleep(ctx, time.Duration(rnd.Int64N(int64(rereadSpread))))
-			continue
-		}
-		if err != nil {
-			pause := bac.next(duty.Crowd, rnd)
-			rdr.jou.Note("store-call-failed", lines.Fields{"what": what, "after": after, "error": err.Error(), "crowd": duty.Crowd, "pause": pause.Milliseconds()})
-			rdr.src.Reset()
-			_ = rdr.clk.Sleep(ctx, pause)
-			continue
-		}
-		bac.pause = 0
-		if got.revision > 0 {
-			after = got.revision
-		}
-		pause := got.pause
-		switch {
-		case after == 0:
-			pause = longestPause
-		case !settled:
-			pause, settled = settlePause, true
+		pause, may := lop.begin(duty)
+		if may {
+			got, starts, err := rdr.once(ctx, lop, do)
+			if ctx.Err() != nil {
+				return nil
+			}
+			pause = rdr.ended(lop, duty, got, starts, err)
 		}
 		if pause > 0 {
 			_ = rdr.clk.Sleep(ctx, pause)
@@ -286,16 +261,65 @@
 	return nil
 }
 
-func (rdr *Reader) once(ctx context.Context, what string, after stock.Revision, do step) (found, int, error) {
+// begin reports whether a call may be made now, and else how long to wait.
+func (lop *loop) begin(duty Duty) (time.Duration, bool) {
+	switch {
+	case !duty.Reads:
+		lop.after, lop.bac.pause, lop.crowded = 0, 0, false
+		return idlePoll, false
+	case duty.Crowd > crowdSize && !lop.crowded:
+		lop.crowded = true
+		return lop.bac.next(duty.Crowd, lop.rnd), false
+	}
+	return 0, true
+}
+
+// ended takes the end of a call in, and returns how long to wait before the next.
+func (rdr *Reader) ended(lop *loop, duty Duty, got found, starts int, err error) time.Duration {
+	switch {
+	case rdr.restarted(starts):
+		lop.after = 0
+		return 0
+	case errors.Is(err, ErrHistoryGone):
+		rdr.jou.Note("store-history-gone", lines.Fields{"what": lop.what, "after": lop.after, "error": err.Error()})
+		lop.after = 0
+		// The readers of all zones see it at the same moment.
+		return time.Duration(lop.rnd.Int64N(int64(rereadSpread)))
+	case err != nil:
+		pause := lop.bac.next(duty.Crowd, lop.rnd)
+		rdr.jou.Note("store-call-failed", lines.Fields{"what": lop.what, "after": lop.after, "error": err.Error(), "crowd": duty.Crowd, "pause": pause.Milliseconds()})
+		rdr.src.Reset()
+		return pause
+	}
+	lop.bac.pause = 0
+	return lop.goOn(got)
+}
+
+// goOn notes what a call brought, and returns how long to wait before the next.
+func (lop *loop) goOn(got found) time.Duration {
+	if got.revision > 0 {
+		lop.after = got.revision
+	}
+	switch {
+	case lop.after == 0:
+		return longestPause
+	case !lop.settled:
+		lop.settled = true
+		return settlePause
+	}
+	return got.pause
+}
+
+func (rdr *Reader) once(ctx context.Context, lop *loop, do step) (found, int, error) {
 	limit := readTime
-	if after > 0 {
+	if lop.after > 0 {
 		limit = watchWait + watchSlack
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	dog := rdr.clk.Watch(limit, cancel)
 	defer dog.Stop()
-	starts := rdr.begin(what, cancel)
-	got, err := do(ctx, after)
+	starts := rdr.begin(lop.what, cancel)
+	got, err := do(ctx, lop.after)
 	return got, starts, err
 }
