Some of a crowd of readers look at the store at once

Change: the first calls of a crowd are spread evenly from the first moment on, so that it asks as often as before in its steady state, some sixteen calls a second whatever its size.

Ruled out: asking at once and waiting afterwards; 83 calls in the first tenth of a second are what the platform must not bear when it is weak.

--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -214,21 +214,31 @@
 	pause time.Duration
 }
 
-// next returns how long to wait after another failure, or before the first call of
-// a crowd; half of it is random.
-//
-// Load pattern: the store is down, nobody has fresh news, and all instances ask,
-// which the platform must bear just when it is weak. A zone's eldest go on asking
-// often; the others look only in case the store turns those away.
+// next returns how long to wait after another failure; half of it is random.
 func (bac *backoff) next(crowd int, rnd *rand.Rand) time.Duration {
 	bac.pause = min(longestPause, max(firstPause, 2*bac.pause))
 	if crowd > crowdSize {
 		bac.pause = longestPause
 	}
-	wait := bac.pause * time.Duration(min(mostCrowd, max(1, crowd/crowdSize)))
+	wait := bac.pause * crowdFactor(crowd)
 	return wait/2 + time.Duration(rnd.Int64N(int64(wait/2)))
 }
 
+// crowdFactor is how many times as seldom one of a crowd asks.
+func crowdFactor(crowd int) time.Duration {
+	return time.Duration(min(mostCrowd, max(1, crowd/crowdSize)))
+}
+
+// first returns how long one of a crowd waits before its first call.
+//
+// Load pattern: the store turns the readers of all zones away, or is down, and at
+// one moment nobody has fresh news. Some must look at once, since it may serve
+// them; if all do, the platform must bear it just when it is weak. Spread evenly
+// from the first moment on, the crowd asks as one that asks often would.
+func first(crowd int, rnd *rand.Rand) time.Duration {
+	return time.Duration(rnd.Int64N(int64(longestPause * crowdFactor(crowd))))
+}
+
 // loop is how far the following of one thing has come.
 type loop struct {
 	what string
@@ -269,7 +279,7 @@
 		return idlePoll, false
 	case duty.Crowd > crowdSize && !lop.crowded:
 		lop.crowded = true
-		return lop.bac.next(duty.Crowd, lop.rnd), false
+		return first(duty.Crowd, lop.rnd), false
 	}
 	return 0, true
 }
