Tests of the platform's path say in one line what they guard against

Change: each has one line with the failure that it guards against; the stories stand in this commit's diff. Names with words of our own (woken, unlike, forming instance) take the field's. No check, load or bound is changed.

--- a/core/marks/marks_test.go
+++ b/core/marks/marks_test.go
@@ -14,9 +14,7 @@
 
 func at(sec int) time.Time { return epoch.Add(time.Duration(sec) * time.Second) }
 
-// A parent's history makes each engine crash that reads it, and the parent
-// sends it again and again. The engines that others share go down with it,
-// yet only that request may be refused, and after three engines at most.
+// A request that crashes every engine must be refused after three of them, and no other.
 func TestEvidence(t *testing.T) {
 	for name, tst := range map[string]struct {
 		dths []Death
@@ -137,9 +135,7 @@
 	return tab
 }
 
-// TestFalseMarks measures how many innocent requests that met the guilty one
-// are refused with it, over seeded trials, and holds the bound that the design
-// note states.
+// Innocent requests that met a guilty one must not be refused more often than the bound says.
 func TestFalseMarks(t *testing.T) {
 	for _, tst := range []struct {
 		servers, inflight, instances int
@@ -162,9 +158,7 @@
 	}
 }
 
-// A box between the zones resets every connection for a moment: each engine
-// behind it looks dead, one after the other. Requests that met three of these
-// deaths are not refused afterwards.
+// Requests that met several resets with one common cause must not be refused for them.
 func TestCommonCause(t *testing.T) {
 	const servers, inflight = 12, 4
 	rng := rand.New(rand.NewPCG(3, 0))
--- a/core/rates/rates_test.go
+++ b/core/rates/rates_test.go
@@ -109,9 +109,7 @@
 	require.Equal(t, Same, bok.Heard(start.Add(1700*time.Millisecond), Word{Server: "s", Ended: true}))
 }
 
-// One instance hears that a limit has ended while another has just heard of it.
-// The end, told once, must not be lost for the second: it would hold requests
-// back until an answer of its own says so, and it may send none.
+// A limit's end that is heard before the limit itself must not be lost.
 func TestEndToldEarlyTakesEffect(t *testing.T) {
 	bok := NewBook()
 	bok.Heard(start, Word{Server: "s", Rate: 2})
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -29,9 +29,7 @@
 	return []Policy{Random{}, NewRoundRobin(), LeastInflight{}, TwoChoices{}, NewFinish()}
 }
 
-// Servers leave, fail and report at any moment while calls come and go. No
-// policy may send a call to a leaving server or to one to be avoided, none may
-// find no server while one is open, and equal seeds give equal choices.
+// No policy may choose a leaving or avoided server, or none while one is open.
 func TestChoices(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		num := rapid.IntRange(1, 30).Draw(rt, "servers")
@@ -97,9 +95,7 @@
 	return got
 }
 
-// One engine runs at a fifth of its speed. Its queue looks no longer than the
-// others', since calls are few, so counting calls keeps feeding it; callers
-// see every twelfth answer late. Results show it, and it loses its share.
+// A slow engine must not be fed because its queue looks short.
 func TestSlowServerLosesItsShare(t *testing.T) {
 	srvs := pool(12)
 	slow := srvs[3]
@@ -125,9 +121,7 @@
 	require.GreaterOrEqual(t, got[slow], 5)
 }
 
-// A family's whole history is sent again with every question. On the engine
-// that has it cached the prompt is nearly free; but when everyone asks about
-// the same prefix, one engine can't serve all of it.
+// A shared prompt must not be read everywhere, nor overload the engine that has it.
 func TestPrefixStaysUntilItsServerIsFull(t *testing.T) {
 	srvs := pool(12)
 	fin, rng := NewFinish(), source(2)
@@ -143,9 +137,7 @@
 	}
 }
 
-// Eight entry instances read the same report, a second old, of one idle
-// engine among busy ones. If each took it for the best until the next report,
-// their calls would all queue there.
+// Instances that read one stale report must not all send to the same engine.
 func TestStaleReportDrawsNoHerd(t *testing.T) {
 	const instances, asks = 8, 10
 	together := map[string]int{}
--- a/core/stock/stock_test.go
+++ b/core/stock/stock_test.go
@@ -13,9 +13,7 @@
 	return Known{Revision: revision, Entry: Entry{ID: id, Service: "s", Address: "a", Sequence: sequence, Leaving: leaving}}
 }
 
-// A server reports that it leaves, and a report of before is written late, with
-// a higher revision. Believed, it would bring the server back and send it
-// requests until it ends.
+// A report from before a server left, written late, must not bring it back.
 func TestLateReportBringsNobodyBack(t *testing.T) {
 	bok := NewBook()
 	require.Equal(t, Fresh, bok.Put(start, word("i", 5, 3, false)))
@@ -41,9 +39,7 @@
 	require.Equal(t, Stale, bok.Put(start, one), "of the start before")
 }
 
-// Entries that lapsed while the store was down come back by themselves. Taken
-// for gone at once, nobody would be served until they do; one that stays
-// missing is gone.
+// Entries that lapsed in an outage must not count as gone until they had time to come back.
 func TestHeldRemovals(t *testing.T) {
 	bok := NewBook()
 	bok.Put(start, word("i", 5, 1, false))
--- a/io/edge/control_test.go
+++ b/io/edge/control_test.go
@@ -107,10 +107,8 @@
 	ctl.beat(ctl.clk.Now())
 }
 
-// A process stood still while a key was revoked and a server left. What its
-// links bring then was sent before the pause; what it believed may be wrong. It
-// must refuse callers until the store, or a peer over a new link, has told.
-func TestWokenProcessWaitsForNews(t *testing.T) {
+// A process that stood still must not act on what it believed before, or on what old links bring.
+func TestResumedProcessWaitsForNews(t *testing.T) {
 	ctl, lnk := newControl(t)
 	known(ctl)
 	ctl.do(evLinked{mem: member.Member{Address: "a", Zone: "z", Born: 1}})
@@ -176,12 +174,8 @@
 	require.Empty(t, ctl.waiters)
 }
 
-// An instance loses power while a request of its caller waits for results. Of
-// the request it had written nothing, and the instance that forms the calls
-// writes only a part of them in a burst. The line of its hand-over is the one
-// that always tells that it was there, and which instance formed its calls; after
-// that one died, another line names the next.
-func TestLinesNameWhoFormsTheCalls(t *testing.T) {
+// A request that is lost with its instance must have a line that names its coordinator.
+func TestLinesNameTheCoordinator(t *testing.T) {
 	ctl, lnk := newControl(t)
 	var out bytes.Buffer
 	ctl.jou = lines.New(&out, clock.System{})
@@ -231,9 +225,7 @@
 	return "", "", nil, nil, errors.New("test: no calls are made")
 }
 
-// A caller was refused since the queue was too long, and asks why. Whether more
-// was asked for than usual, or fewer servers were left to make it, shows only in
-// the pool's own line: it must say both, or the engineer guesses.
+// A pool's line must tell a rush from a loss of servers.
 func TestPoolStateTellsWhatWasAskedFor(t *testing.T) {
 	ctl, _ := newControl(t)
 	ctl.dec = staged{}
@@ -270,10 +262,8 @@
 	require.Len(t, ctl.View().Servers["m"], 1)
 }
 
-// A peer knows otherwise of servers for a while: it is asked what differs, and
-// not again with each beat. Asked itself, this instance tells what differs and
-// no more.
-func TestUnlikePeersAreAsked(t *testing.T) {
+// A peer that knows otherwise must be asked for what differs, once and no more.
+func TestDivergedPeersAreAsked(t *testing.T) {
 	ctl, lnk := newControl(t)
 	known(ctl)
 	ctl.do(evLinked{mem: member.Member{Address: "a", Zone: "z", Born: 1}})
@@ -292,9 +282,7 @@
 	require.Equal(t, []stock.Known{engine("e", 4)}, of[mesh.Servers](lnk, "a")[1].List)
 }
 
-// The other one lacks something, and its answers bring nothing. Asked again and
-// again, peers of a large fleet would do nothing else; it is asked again once
-// either knows something new.
+// Peers whose answers bring nothing must not be asked again and again.
 func TestPeersWithNothingNewAreLeftAlone(t *testing.T) {
 	ctl, lnk := newControl(t)
 	known(ctl)
@@ -382,9 +370,7 @@
 	require.Equal(t, map[string][]string{"s:1": {"h9"}}, ctl.frees)
 }
 
-// A caller leaves, and the instance that formed its calls is gone: nobody but
-// the entry instance knows of the result, which would fill its maker until it
-// expires. A word that comes when the caller has left is given up as well.
+// Results of a caller that left must not fill their maker after the coordinator is lost.
 func TestResultsOfLeaversAreGivenUp(t *testing.T) {
 	ctl, lnk, _ := handed(t)
 	lnk.down["a"] = true
@@ -402,9 +388,7 @@
 	require.Len(t, of[mesh.Withdraw](lnk, "a"), 1)
 }
 
-// A caller leaves and comes again under the same request ID. A word on the
-// attempt before must not become a result of this one: it may ask for something
-// else.
+// Results of an earlier attempt under the same ID must not be taken for this one.
 func TestResultsOfAnEarlierAttemptAreNotTaken(t *testing.T) {
 	ctl, _, _ := handed(t)
 	old := ctl.waiters["r1"].spec
@@ -446,10 +430,8 @@
 	}
 }
 
-// The forming instance stood still, and its own requests with it. It drops what
-// it formed; its requests go to who forms the calls now, and none waits for a
-// word that nobody will say.
-func TestWokenDeskHandsItsOwnRequestsOn(t *testing.T) {
+// Requests of a coordinator that stood still must not wait for a decision that nobody makes.
+func TestResumedCoordinatorHandsItsOwnRequestsOn(t *testing.T) {
 	ctl, lnk := newControl(t)
 	known(ctl)
 	now := ctl.clk.Now()
@@ -559,9 +541,7 @@
 	require.Empty(t, ctl.news.waiting)
 }
 
-// The instance that forms the calls says that it stops, and a successor is there.
-// Callers met one that was leaving until the next beats, a fifth of a second later,
-// and what it had went on there. All of it goes over at once, running requests too.
+// Callers must not wait for a coordinator that has said that it stops.
 func TestDutiesMoveWithTheBeatThatTells(t *testing.T) {
 	ctl, lnk := newControl(t)
 	known(ctl)
--- a/io/edge/grace_test.go
+++ b/io/edge/grace_test.go
@@ -12,12 +12,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestShortGraceAnswersARequestThatWasJustRead:
-//
-// The grace time is 3 s, so the stop ends its callers after 2.1 s, before it ever
-// began to close. A request had been read by then and its goroutine had not said
-// so yet; the listeners ended at once, with 0.9 s of the grace time left, and the
-// HTTP server dropped the request without a word.
+// A short grace time must not drop a request that was read a moment before its end.
 func TestShortGraceAnswersARequestThatWasJustRead(t *testing.T) {
 	t.Parallel()
 	heldAtTheEnd(t, 3*time.Second)
--- a/io/edge/large_test.go
+++ b/io/edge/large_test.go
@@ -495,14 +495,7 @@
 	steadySpan = flag.Duration("steady", 20*time.Second, "how long a simulated fleet stands still")
 )
 
-// A fleet grows to 300 instances with ten servers each. Told whole, what each
-// knows of servers, members and the configuration filled the links of those
-// that many link to; beats waited behind it, links that seemed silent were cut,
-// and each new one brought everything again, until an instance went over its
-// memory. Here the fleet starts at once, stands still, has a fifth of its
-// servers and its configuration changed, loses a third at once, has a zone cut
-// off while both change, and its hubs lost; afterwards everybody knows
-// everything, and nobody has told more than its link carries.
+// What 300 instances tell each other must not outgrow their links, whatever changes or is lost.
 func TestLargeFleetsTellDifferences(t *testing.T) {
 	for _, word := range strings.Split(*fleetSizes, ",") {
 		size, err := strconv.Atoi(word)
--- a/io/edge/pause_test.go
+++ b/io/edge/pause_test.go
@@ -10,12 +10,7 @@
 	"lovagestream/core/sched"
 )
 
-// TestOwnWaitingRequestOutlivesAPause:
-//
-// The instance that forms the calls stood still while a request of its own
-// waited for an engine. Awake again it forgot all jobs, since others have taken
-// theirs over; its own request was nobody's then, and waited without a verdict
-// until its time was over.
+// A coordinator's own request must not be forgotten when its process stood still.
 func TestOwnWaitingRequestOutlivesAPause(t *testing.T) {
 	ctl, _ := newControl(t)
 	known(ctl)
--- a/io/edge/stop_test.go
+++ b/io/edge/stop_test.go
@@ -148,18 +148,7 @@
 	sto.lis.Release()
 }
 
-// TestStopAnswersARequestThatWasJustRead:
-//
-// A caller confirmed a seat over a connection that it had kept, 2.2 s after the
-// instance was told to stop. The instance had read the request; its goroutine
-// waited for the processor. At that moment the stop closed all connections that
-// the HTTP server counted as idle, and it counts one as idle until the goroutine
-// has parsed the request and said so. The request went on to the backend server,
-// which ran it, and its answer had no connection left.
-//
-// Seen: SIGTERM at 30.500 s, the request sent at 32.684 s, at 32.714 s passed on
-// and its connection closed, in one millisecond; the same 2.214 s after another
-// SIGTERM.
+// A planned stop must not close a connection as idle whose request was just read.
 func TestStopAnswersARequestThatWasJustRead(t *testing.T) {
 	t.Parallel()
 	sto := newStopping(t)
@@ -180,12 +169,7 @@
 	require.NoError(t, <-sto.done)
 }
 
-// TestStopWaitsForARequestThatWasJustRead:
-//
-// An instance in a planned stop saw nothing under way for 0.7 s and ended its
-// listeners. A request had been read by then and was not counted as under way
-// yet: the HTTP server drops such a request without a word, though the caller
-// sent it whole and may not send it again.
+// A planned stop must not end before a request is counted that was just read.
 func TestStopWaitsForARequestThatWasJustRead(t *testing.T) {
 	t.Parallel()
 	sto := newStopping(t)
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -205,10 +205,7 @@
 var plainService = &table.Service{Name: "svc"}
 var modelService = &table.Service{Name: "svc", Model: &table.Model{Slots: 4}}
 
-// A caller on an idle connection sends a request six seconds into a planned
-// stop. The instance takes it, sends it on, and ends with its grace time while
-// the server is at work: the caller sees a closed connection. A request that
-// may last longer than the process must be refused while that is still true.
+// A request that may last longer than a stopping process must be refused, not cut.
 func TestLateInPlannedStopIsRefused(t *testing.T) {
 	var runs atomic.Int64
 	wld := newWorld(t, &table.Route{Kind: call.Once}, plainService, server(t, &runs, sound))
@@ -257,9 +254,7 @@
 	require.Zero(t, runs.Load())
 }
 
-// scripted answers of a server, and what the caller of each kind of request
-// must see. A failure of this table shows as a caller that is told "not run" of
-// a request that ran, or gets bytes that no server signed.
+// No caller may be told "not run" of a request that ran, or get bytes that no server signed.
 func TestOutcomes(t *testing.T) {
 	hijack := func(text string) http.HandlerFunc {
 		return func(wri http.ResponseWriter, _ *http.Request) {
@@ -318,10 +313,7 @@
 	}
 }
 
-// A caller complains of an error that a server gave, and another of a payment
-// request that never came back, since the instance that had it lost power. The
-// first request's last line must name the server; the second must have a line
-// from before its answer, or nobody can tell that it was on its way, and where.
+// A request that failed or was lost must have a line that names its server.
 func TestLinesNameWhereARequestWas(t *testing.T) {
 	var runs atomic.Int64
 	var wld *world
@@ -342,9 +334,7 @@
 	require.Regexp(t, `"print":[1-9]`, last[0], "what the caller's other attempts have in common")
 }
 
-// A stream that its engine broke off goes on at another engine where the route
-// allows it, from the last whole event, within the same answer; elsewhere the
-// caller sees that it is cut.
+// A stream that breaks must go on from the last whole event, or look cut.
 func TestStreamResumesOrIsCut(t *testing.T) {
 	for _, resume := range []bool{true, false} {
 		t.Run(strconv.FormatBool(resume), func(t *testing.T) {
--- a/io/follow/follow_test.go
+++ b/io/follow/follow_test.go
@@ -8,9 +8,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// The store is down for eight seconds. 75 instances that all ask must not ask
-// as often as one alone; one alone must still see within a second that the
-// store is back.
+// Many readers of a store that is down must not all ask as often as one alone.
 func TestManyReadersAskSeldom(t *testing.T) {
 	calls := func(crowd int) int {
 		rnd := rand.New(rand.NewPCG(1, 2))
--- a/io/mesh/mesh_test.go
+++ b/io/mesh/mesh_test.go
@@ -64,9 +64,7 @@
 	return out
 }
 
-// A peer takes nothing while this instance has much to tell it. Lists that wait
-// for it would take all memory; they are left out, the link stands, and a
-// request for the peer still has its place.
+// A peer that takes nothing must not fill the memory, nor keep requests from going out.
 func TestWhatIsToldAgainIsLeftOut(t *testing.T) {
 	hub, lnk, ctx := stuck(t)
 	sent := 0
--- a/io/mesh/message_test.go
+++ b/io/mesh/message_test.go
@@ -46,9 +46,7 @@
 	require.Equal(t, Adopt{Spec: spc, Engine: "e"}, over(t, now, Adopt{Spec: spc, Engine: "e"}))
 }
 
-// An instance of another version sends a kind of message that this one doesn't
-// know, as one of the former version is told of results by this one. It must
-// skip the message and go on; an error would end the link.
+// A message of a later version must not end the link.
 func TestUnknownKindsAreSkipped(t *testing.T) {
 	raw := protowire.AppendTag(nil, 99, protowire.BytesType)
 	raw = protowire.AppendBytes(raw, []byte("news"))
@@ -66,9 +64,7 @@
 	require.Zero(t, got.Spec.Attempt)
 }
 
-// Instances have 10 Mbit/s. A word on a job's results must stay near the bytes
-// of its handles: 5,000 pieces a second, in calls that hold four jobs, are then
-// an eighth of one such link at the sender and nothing at the receivers.
+// What is told of a request's results must stay near the bytes of their handles.
 func TestHeldResultsAreSmall(t *testing.T) {
 	now := time.Unix(1000, 0)
 	hld := heldRow(now)
--- a/io/mesh/twolinks_test.go
+++ b/io/mesh/twolinks_test.go
@@ -71,12 +71,7 @@
 func (snk *fakeSink) ends() int           { snk.mu.Lock(); defer snk.mu.Unlock(); return snk.unlinked }
 func (snk *fakeSink) opened() int         { snk.mu.Lock(); defer snk.mu.Unlock(); return snk.linked }
 
-// TestMessageOutlivesOneOfTwoLinks:
-//
-// Two instances dialled each other at once and hold two links. The newer one was
-// reset with a request's hand-over on it. Since the other link stood, nobody was
-// told of an end, so the request was not handed over again: it waited for a verdict
-// until its time was over.
+// A request on one of two links that breaks must not be lost with it.
 func TestMessageOutlivesOneOfTwoLinks(t *testing.T) {
 	grp := group.New(context.Background())
 	defer grp.Stop()
--- a/stand/replay/replay_test.go
+++ b/stand/replay/replay_test.go
@@ -59,18 +59,8 @@
 	require.Equal(t, one, two)
 }
 
-// The instance that forms the calls is killed in a burst, with the servers' room
-// full of results. Its links end at once, and every entry instance hands its
-// requests to the next, which can begin at once, too. Callers saw otherwise: the
-// next one knew nothing of the results, began all requests again and met servers
-// without room until the results expired, four seconds later, and a quarter of
-// the callers around the loss got no answer.
-//
-// What a loss must cost is the time until it is noticed, and two calls of each
-// server: the one that was under work for an instance that is gone, and the one
-// that it begins again. Callers that the same burst serves without the loss must
-// be served but for that part of the time.
-func TestLossOfTheFormingInstanceCostsTwoCalls(t *testing.T) {
+// The loss of the coordinator in a burst must not cost more than two calls of each server.
+func TestLossOfTheCoordinatorCostsTwoCalls(t *testing.T) {
 	period := member.NewSet(member.Member{}).Period()
 	noticed := map[string]time.Duration{"coordinator-lost-in-burst": lostAfter + period, "coordinator-lost-in-full-house": lostAfter + period, "coordinator-killed-in-burst": 2 * killedAfter, "coordinator-killed-in-full-house": 2 * killedAfter}
 	for name, wait := range noticed {
