call.Answer: Closing for the end of a connection

Leaving is what a server is said to be that gets no new work; an answer's Connection: close says nothing of that. The name goes to the field that will.

--- a/core/call/call.go
+++ b/core/call/call.go
@@ -105,8 +105,8 @@
 	Signed bool
 	// Encoded tells a body that is not the server's own bytes.
 	Encoded bool
-	// Leaving is the server's wish to end the connection.
-	Leaving bool
+	// Closing is the server's word that it ends the connection.
+	Closing bool
 	// KeepIdle is how long the connection may idle; 0 if the server doesn't
 	// say.
 	KeepIdle time.Duration
--- a/io/conns/exchange.go
+++ b/io/conns/exchange.go
@@ -110,7 +110,7 @@
 		}
 		rep.res, rep.Header, rep.Length = res, res.Header, res.ContentLength
 		rep.Answer = head(res.StatusCode, res.Header)
-		rep.Answer.Leaving = rep.Answer.Leaving || res.Close
+		rep.Answer.Closing = rep.Answer.Closing || res.Close
 		if id == "" || rep.Answer.Request == "" || rep.Answer.Request == id {
 			return nil
 		}
@@ -149,7 +149,7 @@
 // reusable is false where the server answered before it had the request whole:
 // it would take the next request's bytes for the rest of this one.
 func (rep *Reply) reusable() bool {
-	if !rep.done || rep.Answer.Leaving || rep.res == nil {
+	if !rep.done || rep.Answer.Closing || rep.res == nil {
 		return false
 	}
 	select {
