Instances write down what a server's answer says of its leaving

The word is read by the dialect (one form; others are noted once a server, as odd limits are) and written as server-announced-leaving, with what the instance knows of the server then. It is not acted on yet.

--- a/core/call/call.go
+++ b/core/call/call.go
@@ -123,6 +123,10 @@
 	Limited  bool
 	Limit    float64
 	LimitOdd bool
+	// Leaving servers get no new work. LeavingOdd is a word on that which can't be
+	// read, and says nothing.
+	Leaving    bool
+	LeavingOdd bool
 }
 
 // mostPieces bounds the pieces of one request, over all of its stages; published
--- a/io/edge/calls.go
+++ b/io/edge/calls.go
@@ -105,7 +105,7 @@
 	}
 	defer rep.Close()
 	if rep.Answer.Status != http.StatusMisdirectedRequest {
-		cal.ctl.Heard(ask.Server.ID, rep.Answer)
+		cal.ctl.Heard(ask.Server, rep.Answer)
 	}
 	got, err := io.ReadAll(io.LimitReader(rep, maxResults))
 	switch {
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -111,6 +111,8 @@
 	left    map[string]bool
 	// colds are servers that may be cold, by when they are warm at the latest.
 	colds map[string]time.Time
+	// unreadable are words of servers that couldn't be read.
+	unreadable map[evUnreadable]bool
 	// evacuated are the addresses of servers in evacuated zones.
 	evacuated map[string]bool
 	// dirty says that servers or the configuration changed since surveyedAt.
@@ -171,7 +173,7 @@
 		set: set, clk: clk, dec: dec, jou: jou, que: make(chan event, queueLength),
 		mem:  member.NewSet(member.Member{Address: set.Told, Zone: set.Zone, Born: born, Share: set.Share}),
 		book: stock.NewBook(), repeats: sched.NewRetryBudget(set.RepeatRatio, set.RepeatSlack, set.RepeatWindow), limits: newLimits(),
-		wrongServers: map[string]stock.Revision{}, waiters: map[string]*waiter{}, news: newNews(), said: said{missed: map[string]bool{}}, large: make(chan struct{}, largeMessages), ended: make(chan struct{}), relinked: map[string]bool{}, frees: map[string][]string{}, colds: map[string]time.Time{}, asked: map[string]int{},
+		wrongServers: map[string]stock.Revision{}, waiters: map[string]*waiter{}, news: newNews(), said: said{missed: map[string]bool{}}, large: make(chan struct{}, largeMessages), ended: make(chan struct{}), relinked: map[string]bool{}, frees: map[string][]string{}, colds: map[string]time.Time{}, unreadable: map[evUnreadable]bool{}, asked: map[string]int{},
 		verified: true, startedAt: now, ticked: now, boot: bootTime(), coordinator: set.Told, reread: func() {},
 	}
 	ctl.sched = sched.New(ctl, ctl.repeats, ctl.limits.book)
--- a/io/edge/limits.go
+++ b/io/edge/limits.go
@@ -20,9 +20,6 @@
 	// limited server, and freeShare what they take of its rate at most.
 	freeEvery = time.Second
 	freeShare = 0.5
-	// maxOdd bounds the servers of which it is noted that their word on a limit
-	// can't be read.
-	maxOdd = 256
 )
 
 // limits is what the control thread knows of servers in need.
@@ -33,12 +30,10 @@
 	// limit.
 	told  map[string]time.Time
 	freed map[string]time.Time
-	// odd are servers whose word couldn't be read; each is noted once.
-	odd map[string]bool
 }
 
 func newLimits() *limits {
-	return &limits{book: rates.NewBook(), told: map[string]time.Time{}, freed: map[string]time.Time{}, odd: map[string]bool{}}
+	return &limits{book: rates.NewBook(), told: map[string]time.Time{}, freed: map[string]time.Time{}}
 }
 
 // servers lists the limited servers; nil if there are none.
@@ -78,13 +73,12 @@
 	return out
 }
 
-// Heard takes what an answer of a server says of its limit. Answers of servers
+// heardLimit takes what an answer of a server says of its limit. Answers of servers
 // that name none, and named none, cost nothing.
-func (ctl *Control) Heard(server string, ans call.Answer) {
+func (ctl *Control) heardLimit(server string, ans call.Answer) {
 	switch {
-	case server == "":
 	case ans.LimitOdd:
-		ctl.post(evOddLimit{server: server})
+		ctl.post(evUnreadable{server: server, field: "limit"})
 	case ans.Limited || ctl.View().Limited[server]:
 		ctl.post(evLimit{rates.Word{Server: server, Rate: ans.Limit, Ended: !ans.Limited}})
 	}
@@ -94,17 +88,6 @@
 
 func (evt evLimit) apply(ctl *Control, now time.Time) { ctl.limit(now, evt.word, "") }
 
-type evOddLimit struct{ server string }
-
-func (evt evOddLimit) apply(ctl *Control, _ time.Time) {
-	odd := ctl.limits.odd
-	if odd[evt.server] || len(odd) >= maxOdd {
-		return
-	}
-	odd[evt.server] = true
-	ctl.jou.Note("limit-unreadable", lines.Fields{"server": evt.server})
-}
-
 // limit takes a word on a server's limit in, from an own answer or a peer, and
 // passes on what is new.
 func (ctl *Control) limit(now time.Time, wrd rates.Word, from string) {
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -19,6 +19,7 @@
 	"lovagestream/core/call"
 	"lovagestream/core/marks"
 	"lovagestream/core/sched"
+	"lovagestream/core/stock"
 	"lovagestream/core/table"
 	"lovagestream/io/clock"
 	"lovagestream/io/conns"
@@ -370,18 +371,18 @@
 }
 
 // sendTo makes the exchange with one server.
-func (vis *visit) sendTo(ctx context.Context, address string, ext call.Extras) (rep *conns.Reply, err error) {
-	_, spn := trace.Start(ctx, "send", attribute.String("server", ext.Server))
+func (vis *visit) sendTo(ctx context.Context, ent stock.Entry, ext call.Extras) (rep *conns.Reply, err error) {
+	_, spn := trace.Start(ctx, "send", attribute.String("server", ent.ID))
 	defer func() { spn.End(err) }()
-	vis.server = ext.Server
+	vis.server = ent.ID
 	snd := conns.Send{
-		Address: address, Method: vis.req.Method, Target: vis.req.Target, Host: vis.req.Host,
+		Address: ent.Address, Method: vis.req.Method, Target: vis.req.Target, Host: vis.req.Host,
 		Fields: vis.srv.dia.Outgoing(vis.req, ext), Body: vis.req.Body,
 		Most: vis.srv.ctl.View().Connections(vis.service),
 	}
 	rep, err = vis.srv.poo.Do(ctx, snd, vis.req.ID, vis.srv.dia.Answer)
 	if err == nil && rep.Answer.Status != http.StatusMisdirectedRequest {
-		vis.srv.ctl.Heard(ext.Server, rep.Answer)
+		vis.srv.ctl.Heard(ent, rep.Answer)
 	}
 	return rep, err
 }
--- a/io/entry/generate.go
+++ b/io/entry/generate.go
@@ -139,7 +139,7 @@
 	ext := vis.extras(ent.ID)
 	ext.Inputs, ext.HasInputs = inputs, len(vis.rou.Stages) > 0
 	ext.LastEvent = stm.last
-	rep, err := vis.sendTo(ctx, ent.Address, ext)
+	rep, err := vis.sendTo(ctx, ent, ext)
 	if taken(err) {
 		return sending{outcome{again: true, reason: "connections-taken", err: err}, place.Full}
 	}
--- a/io/entry/plain.go
+++ b/io/entry/plain.go
@@ -191,7 +191,7 @@
 	repeatable := vis.rou.Kind == call.Idempotent
 	// Nothing else tells of a request that is lost with this instance.
 	vis.srv.jou.Note("request-sent", lines.Fields{"id": vis.req.ID, "server": ent.ID, "service": vis.service, "waited": vis.srv.clk.Now().Sub(vis.arrived).Milliseconds()})
-	rep, err := vis.sendTo(ctx, ent.Address, vis.extras(ent.ID))
+	rep, err := vis.sendTo(ctx, ent, vis.extras(ent.ID))
 	if taken(err) {
 		return outcome{again: true, reason: "connections-taken", err: err}
 	}
--- a/io/entry/view.go
+++ b/io/entry/view.go
@@ -78,8 +78,8 @@
 	Ended(id string, out place.Outcome)
 	// Crashed tells of a server lost with a request on it.
 	Crashed(pri marks.Print, server string)
-	// Heard tells what an answer of a server says of the rate that it takes.
-	Heard(server string, ans call.Answer)
+	// Heard tells what an answer of a server says of the server itself.
+	Heard(ent stock.Entry, ans call.Answer)
 	// Stranger tells that another server has a server's address.
 	Stranger(ent stock.Entry)
 }
