A server's own word that it leaves is taken in and told to all instances

Callers saw requests sent to a model engine seconds after its answers had said that it leaves; some of them could have been cut off by its end (DRAIN).

Cause: an instance learnt of leaving from the store alone, or from peers that had it from the store. Class: a fact that the one who says it tells first-hand was taken from a second-hand source only.

Change: an answer's word marks the entry that is known of that start. It goes to the peers as words of the store do (the next tick, hubs, digests), at the entry's revision; words of one revision merge to leaving and differ in digests, so who missed it is told. It holds until a later start: entries from before it, a lapsed entry that comes back and a zone taken back don't undo it. Everything that chooses or checks a server reads the same entry: callers' sends, repeats and resumes, calls to stage servers, what a coordinator places for others.

Ruled out: the word being known and taken back (no server-leaving line between 7.5 and 19.0 s at any instance), the coordinator alone lacking it (no instance read it). A message of its own beside the words on servers was weighed: it would need its own way to those who missed it.

The property test on eras found that graves must keep the word too: without, two instances that hear the same in another order end unlike.

--- a/core/stock/stock.go
+++ b/core/stock/stock.go
@@ -93,12 +93,13 @@
 
 // Put takes one word in. An entry that was written late, with a lower sequence
 // than one already known of the same start, is dropped although its revision
-// is higher: a server that reported its leaving doesn't take it back. Nor does a
-// copy of the store, of a later era, bring back a server that was removed since.
+// is higher. Nor does a copy of the store, of a later era, bring back a server that
+// was removed since. A server that leaves stays so until a later start, whatever is
+// heard of it in which order.
 func (bok *Book) Put(now time.Time, got Known) Change {
 	old := bok.byID[got.Entry.ID]
 	if old != nil && got.Revision <= old.Revision {
-		return Stale
+		return bok.mergeLeaving(old, &got)
 	}
 	zone, evacuates := got.Evacuates()
 	if old == nil && (len(bok.byID) >= maxKnown || evacuates && len(bok.zones) >= maxZones) {
@@ -111,7 +112,10 @@
 		return bok.bury(now, old, got)
 	}
 	if old != nil && (late(old, &got) || revives(old, &got)) {
-		return Stale
+		return bok.mergeLeaving(old, &got)
+	}
+	if old != nil && sameStart(old, &got) {
+		got.Entry.Leaving = got.Entry.Leaving || old.Entry.Leaving
 	}
 	delete(bok.buried, got.Entry.ID)
 	delete(bok.held, got.Entry.ID)
@@ -126,14 +130,55 @@
 func (bok *Book) set(kno *Known) {
 	id := kno.Entry.ID
 	if old := bok.byID[id]; old != nil && !old.Gone {
-		bok.sums.Drop(id, int64(old.Revision))
+		bok.sums.Drop(id, old.number())
 	}
 	if !kno.Gone {
-		bok.sums.Add(id, int64(kno.Revision))
+		bok.sums.Add(id, kno.number())
 	}
 	bok.byID[id] = kno
 }
 
+// leavingBit is above all revisions.
+const leavingBit = 1 << 62
+
+// number tells words on one ID apart in sums: entries of one revision differ where
+// one holder has heard from the server itself that it leaves.
+func (kno *Known) number() int64 {
+	if kno.Entry.Leaving {
+		return int64(kno.Revision) | leavingBit
+	}
+	return int64(kno.Revision)
+}
+
+// mergeLeaving takes from a word that is stale otherwise that a server leaves. A
+// grave keeps that too: entries lapse while the store is away, and come back.
+func (bok *Book) mergeLeaving(old, got *Known) Change {
+	if got.Gone || !got.Entry.Leaving || old.Entry.Leaving || !sameStart(old, got) {
+		return Stale
+	}
+	merged := *old
+	merged.Entry.Leaving = true
+	bok.set(&merged)
+	if merged.Gone {
+		return Stale
+	}
+	return Fresh
+}
+
+func sameStart(one, two *Known) bool { return one.Entry.Born == two.Entry.Born }
+
+// Announced returns the word on a server that has said itself that it leaves, by
+// the start that said so; false where that start isn't known, or no news.
+func (bok *Book) Announced(id string, born int64) (Known, bool) {
+	old := bok.byID[id]
+	if old == nil || old.Gone || old.Entry.Leaving || old.Entry.Born != born {
+		return Known{}, false
+	}
+	out := *old
+	out.Entry.Leaving = true
+	return out, true
+}
+
 func late(old, got *Known) bool {
 	if got.Entry.Born != old.Entry.Born {
 		return got.Entry.Born != 0 && got.Entry.Born < old.Entry.Born
--- a/core/stock/stock_test.go
+++ b/core/stock/stock_test.go
@@ -65,3 +65,48 @@
 	bok.Settle(start.Add(graveLife + time.Second))
 	require.Zero(t, bok.Len())
 }
+
+// A server's own word that it leaves must outlast entries from before it, in whatever
+// order they come, until the server starts again.
+func TestAnnouncedLeavingStays(t *testing.T) {
+	bok, oth := NewBook(), NewBook()
+	bok.Put(start, word("i", 5, 3, false))
+	oth.Put(start, word("i", 7, 4, false))
+	kno, news := bok.Announced("i", 0)
+	require.True(t, news)
+	require.Equal(t, Fresh, bok.Put(start, kno))
+	require.Equal(t, Stale, bok.Put(start, kno))
+	_, news = bok.Announced("i", 0)
+	require.False(t, news, "known")
+	require.Equal(t, Fresh, oth.Put(start, kno), "heard under an older revision")
+	require.NotEqual(t, bok.Digest(), oth.Digest())
+	require.Equal(t, Fresh, bok.Put(start, word("i", 7, 4, false)))
+	require.Equal(t, bok.Digest(), oth.Digest())
+	require.True(t, bok.Live()[0].Leaving)
+	require.Equal(t, oth.Live(), bok.Live())
+
+	bok.Put(start, Known{Revision: 8, Gone: true, Entry: Entry{ID: "i"}})
+	_, news = bok.Announced("i", 0)
+	require.False(t, news, "gone")
+	bok.Put(start, word("i", 9, 5, false))
+	require.True(t, bok.Live()[0].Leaving, "an entry that lapsed and came back")
+}
+
+// The word of one start must not take a later start under the same ID out of use.
+func TestAnnouncedLeavingIsOfOneStart(t *testing.T) {
+	bok := NewBook()
+	one, two := word("i", 5, 3, false), word("i", 6, 1, false)
+	one.Entry.Born, two.Entry.Born = 100, 200
+	bok.Put(start, one)
+	kno, news := bok.Announced("i", 100)
+	require.True(t, news)
+	require.Equal(t, Fresh, bok.Put(start, kno))
+	require.Equal(t, Reborn, bok.Put(start, two))
+	require.False(t, bok.Live()[0].Leaving)
+	require.Equal(t, Stale, bok.Put(start, kno), "a peer that lags")
+	_, news = bok.Announced("i", 100)
+	require.False(t, news, "an answer that lags")
+	require.False(t, bok.Live()[0].Leaving)
+	_, news = bok.Announced("unknown", 0)
+	require.False(t, news)
+}
--- a/io/edge/leaving.go
+++ b/io/edge/leaving.go
@@ -27,10 +27,18 @@
 
 type evLeaving struct{ ent stock.Entry }
 
-func (evt evLeaving) apply(ctl *Control, _ time.Time) {
-	ctl.jou.Note("server-announced-leaving", lines.Fields{"server": evt.ent.ID, "service": evt.ent.Service, "zone": evt.ent.Zone, "listed": ctl.book.Listed(evt.ent.ID), "left": ctl.left[evt.ent.ID]})
+// apply tells the peers, too: one that places requests for this instance, or that
+// sends its own, must know it as soon.
+func (evt evLeaving) apply(ctl *Control, now time.Time) {
+	kno, news := ctl.book.Announced(evt.ent.ID, evt.ent.Born)
+	if news && ctl.put(now, kno, fromAnswer) {
+		ctl.spread([]stock.Known{kno}, "")
+	}
 }
 
+// fromAnswer is, in lines, whom a word came from that a server's answer said.
+const fromAnswer = "answer"
+
 // maxUnreadable bounds the words of servers of which it is noted that they can't be
 // read.
 const maxUnreadable = 256
