--- a/core/call/call.go
+++ b/core/call/call.go
@@ -127,6 +127,11 @@
 	// read, and says nothing.
 	Leaving    bool
 	LeavingOdd bool
+	// RetryAfter is how long a server that turned a request away wants none from
+	// this entry instance; 0 if it doesn't say. RetryAfterOdd is a word on that which
+	// can't be read, and says nothing.
+	RetryAfter    time.Duration
+	RetryAfterOdd bool
 }
 
 // mostPieces bounds the pieces of one request, over all of its stages; published
--- a/io/edge/leaving.go
+++ b/io/edge/leaving.go
@@ -12,6 +12,7 @@
 func (ctl *Control) Heard(ent stock.Entry, ans call.Answer) {
 	ctl.heardLimit(ent.ID, ans)
 	ctl.heardLeaving(ent, ans)
+	ctl.heardRetryAfter(ent, ans)
 }
 
 // heardLeaving takes a server's word that it leaves. Answers of servers that are
