A server that turns a request away is sent nothing for the time that it names

Cause: Retry-After of a server's 503 was read nowhere. A server that refused was set aside by the instance's own rest, 0.4 s doubled up to 2 s at plain servers and model engines, 80 ms at stage servers, and tried again.

Change: core/pause keeps pauses by server; whoever chooses passes paused servers over (plain requests at the instance, model engines at the coordinator for that instance alone, stage servers at the instance that calls), and every send looks once more when its connection stands, so that what was chosen before isn't sent. Pauses travel with the requests that are handed over, so the next coordinator has them; an instance of the version before leaves them out, and the send's look holds alone. Results to give up wait. What only paused servers could serve is refused at once with what is left of the shortest pause.

Ruled out: the time being kept and lost with a change of the entry or of the coordinator (no code kept it); a longer rest alone (a server may name any time).

Unit tests: TestPausedServerGetsNoCalls, TestPausesAreOfOneInstance, TestPausedServiceRefusesAtOnce, TestCheckKeepsRequestFromBeingSent and others.

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -152,15 +152,21 @@
 	Inputs map[string]int64
 	// Avoid are engines that this request was at before.
 	Avoid map[string]bool
+	// Paused is how long an engine wants nothing from the request's entry instance;
+	// nil where none asked for that.
+	Paused func(server string) time.Duration
 }
 
+// paused reports whether an engine wants nothing from the request's entry instance.
+func (ask *Ask) paused(server string) bool { return ask.Paused != nil && ask.Paused(server) > 0 }
+
 // Choose picks an engine, or returns false if none can take the request now.
 func (pol *Pool) Choose(now time.Time, ask Ask) (stock.Entry, bool) {
 	return pol.choose(now, ask, true)
 }
 
-// choose picks an engine; limits may be left out, by who asks what comes once
-// they allow it.
+// choose picks an engine; limits and pauses may be left out, by who asks what comes
+// once they allow it.
 func (pol *Pool) choose(now time.Time, ask Ask, limits bool) (stock.Entry, bool) {
 	var best *engine
 	var low time.Duration
@@ -170,7 +176,7 @@
 		if eng.ent.Leaving || ask.Avoid[eng.ent.ID] || !eng.rec.Usable(now) || !pol.fits(eng, ask) {
 			continue
 		}
-		if limits && !pol.rates.May(now, eng.ent.ID) {
+		if limits && (ask.paused(eng.ent.ID) || !pol.rates.May(now, eng.ent.ID)) {
 			continue
 		}
 		price := pol.price(eng, ask)
@@ -388,6 +394,24 @@
 	return pol.Reading(eng.backlog + pol.fresh(eng, ask)), true
 }
 
+// PauseWait is how long it takes until an engine takes requests of an entry instance
+// again: nothing while one of them does.
+func (pol *Pool) PauseWait(ask Ask) time.Duration {
+	if ask.Paused == nil {
+		return 0
+	}
+	wait, found := time.Duration(0), false
+	for id, eng := range pol.engines {
+		if eng.ent.Leaving {
+			continue
+		}
+		if left := ask.Paused(id); !found || left < wait {
+			wait, found = left, true
+		}
+	}
+	return wait
+}
+
 // LimitWait is how long one more request waits behind so many others until the
 // limits of the engines let it through: nothing while an engine without a limit
 // can be used.
--- a/core/sched/job.go
+++ b/core/sched/job.go
@@ -83,8 +83,10 @@
 	// expected and allowed are what the last decision on it rested on.
 	expected time.Duration
 	allowed  time.Duration
-	// limited is set where the limits of servers, not the stages, decided that.
+	// limited is set where the limits of servers, not the stages, decided that, and
+	// paused where their pauses did.
 	limited bool
+	paused  bool
 	// returned is set for callers that were refused before.
 	returned bool
 	// remade counts pieces that had to be made again.
@@ -136,7 +138,7 @@
 		return nil, "too-many-pieces"
 	}
 	job.cut(spc.Pieces)
-	job.zone = eng.Zone(now, ask(&spc, nil))
+	job.zone = eng.Zone(now, sch.ask(now, &spc, nil))
 	return job, ""
 }
 
@@ -160,7 +162,7 @@
 	}
 }
 
-func ask(spc *Spec, inputs map[string]int64) place.Ask {
+func (sch *Scheduler) ask(now time.Time, spc *Spec, inputs map[string]int64) place.Ask {
 	var avoid map[string]bool
 	if len(spc.Avoid) > 0 {
 		avoid = make(map[string]bool, len(spc.Avoid))
@@ -168,7 +170,7 @@
 			avoid[id] = true
 		}
 	}
-	return place.Ask{Parts: spc.Parts, Prompt: spc.Prompt, Output: spc.Output, Inputs: inputs, Avoid: avoid}
+	return place.Ask{Parts: spc.Parts, Prompt: spc.Prompt, Output: spc.Output, Inputs: inputs, Avoid: avoid, Paused: sch.pausedFor(now, spc.Key.Owner)}
 }
 
 // open reports whether the stages before a stage are complete.
@@ -282,11 +284,12 @@
 		}
 	}
 	eng := sch.engines[job.spec.Service]
-	ent, ok := eng.Choose(now, ask(&job.spec, inputs))
+	request := sch.ask(now, &job.spec, inputs)
+	ent, ok := eng.Choose(now, request)
 	if !ok {
 		return false
 	}
-	job.run = eng.Place(now, ent.ID, ask(&job.spec, inputs))
+	job.run = eng.Place(now, ent.ID, request)
 	delete(sch.ready, job.spec.Key)
 	sch.out.Notify(Decision{Key: job.spec.Key, Outcome: Placed, Server: ent, Inputs: handles})
 	return true
--- a/core/sched/order.go
+++ b/core/sched/order.go
@@ -112,11 +112,14 @@
 	// calls are those a second that the limits of the pool's servers leave, where
 	// all of them name one; else 0.
 	calls float64
+	// paused is when the first of the servers that want no calls takes them again; 0
+	// where there are none.
+	paused time.Duration
 }
 
 func (bkl backlog) wait() time.Duration {
 	if bkl.servers < leastServers {
-		return noServers
+		return max(noServers, bkl.paused)
 	}
 	wait := max(bkl.first, time.Duration(float64(bkl.work)/bkl.servers))
 	if bkl.calls > 0 {
@@ -189,6 +192,12 @@
 		if ser.gone || ser.ent.Leaving || !ser.rec.Usable(now) || sch.unconfirmed(ser.ent.Zone) {
 			continue
 		}
+		if left := pol.paused(now, ser); left > 0 {
+			if bkl.paused == 0 || left < bkl.paused {
+				bkl.paused = left
+			}
+			continue
+		}
 		left := max(0, ser.freeAt.Sub(now))
 		if len(ser.inFlight) == 0 {
 			left = 0
@@ -214,7 +223,7 @@
 	for _, pol := range sch.pools {
 		pol.under = sch.busy(now, pol)
 	}
-	read, ok := sch.engines[job.spec.Service].Estimate(now, ask(&job.spec, nil))
+	read, ok := sch.engines[job.spec.Service].Estimate(now, sch.ask(now, &job.spec, nil))
 	if !ok {
 		return noServers
 	}
@@ -228,9 +237,10 @@
 	last := job.path(func(stg *stage, begin time.Duration) time.Duration {
 		return max(begin, stg.pool.ahead.wait()) + stg.alone() + stg.rounds() + hop
 	})
-	wait := sch.limitWait(now, job)
-	job.limited = wait > last
-	return max(last, wait) + read + hop
+	limit, pause := sch.limitWait(now, job), sch.pauseWait(now, job)
+	job.limited = limit > last && limit >= pause
+	job.paused = pause > last && pause > limit
+	return max(last, limit, pause) + read + hop
 }
 
 // rounds is the time of further calls if a stage has more pieces than all
@@ -282,7 +292,10 @@
 	if late <= allowed {
 		return true, 0, ""
 	}
-	if job.limited {
+	switch {
+	case job.paused:
+		return false, sch.pauseWait(now, job), reasonPaused
+	case job.limited:
 		return false, retryAfter(now, job, late), reasonLimited
 	}
 	return false, retryAfter(now, job, late), "queue-too-long"
--- /dev/null
+++ b/core/sched/paused_test.go
@@ -0,0 +1,79 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lovagestream/core/pause"
+	"lovagestream/core/stock"
+)
+
+// Calls must not go to a stage server that asked for a pause; what waits goes to the
+// others, or once the pause is over.
+func TestPausedServerGetsNoCalls(t *testing.T) {
+	sch, out := newScheduler(append(both, entry("first", "f2", "z"))...)
+	sch.PauseCalls(start, pause.Server{ID: "f1", Until: start.Add(time.Second)})
+	sch.Submit(start, spec("r1", 2, 1))
+	sch.Submit(start, spec("r2", 2, 1))
+	for _, cal := range out.take() {
+		require.Equal(t, "f2", cal.Server.ID)
+	}
+	sch.PauseCalls(start, pause.Server{ID: "f2", Until: start.Add(500 * time.Millisecond)})
+	sch.Submit(start, spec("r3", 2, 1))
+	sch.Tick(start.Add(400 * time.Millisecond))
+	require.Empty(t, out.take())
+	sch.Tick(start.Add(600 * time.Millisecond))
+	for _, cal := range out.take() {
+		require.Equal(t, "f2", cal.Server.ID)
+	}
+	sch.Tick(start.Add(1100 * time.Millisecond))
+	require.Equal(t, "f1", out.take()[0].Server.ID)
+}
+
+// A coordinator must not place the requests of an instance at an engine that asked that
+// instance for a pause, and need not keep those of others from it.
+func TestPausesAreOfOneInstance(t *testing.T) {
+	sch, out := newScheduler(entry("model", "m1", "z"))
+	sch.Pause(start, "me", []pause.Server{{ID: "m1", Until: start.Add(time.Second)}})
+	mine, other := spec("mine"), spec("other")
+	mine.Stages, other.Stages = nil, nil
+	other.Key.Owner = "other"
+	sch.Submit(start, mine)
+	sch.Submit(start, other)
+	require.Equal(t, Placed, out.verdicts["other"].Outcome)
+	require.Empty(t, out.verdicts["mine"].Key.ID, "it waits, for there is time")
+	sch.Tick(start.Add(1100 * time.Millisecond))
+	require.Equal(t, Placed, out.verdicts["mine"].Outcome)
+}
+
+// Load pattern: all engines of a service turn an instance away for longer than its
+// callers wait. They must hear so at once, and when the engines take requests again.
+func TestPausedServiceRefusesAtOnce(t *testing.T) {
+	sch, out := newScheduler(both...)
+	wait := 20 * time.Second
+	sch.Pause(start, "me", []pause.Server{{ID: "m1", Until: start.Add(wait)}, {ID: "m2", Until: start.Add(2 * wait)}})
+	sch.Submit(start, spec("r1", 1, 1))
+	require.Equal(t, reasonPaused, out.verdicts["r1"].Reason)
+	require.Equal(t, wait, out.verdicts["r1"].After)
+	require.Empty(t, out.take(), "stage work for nothing")
+
+	sch, out = newScheduler(both...)
+	sch.Submit(start, spec("r2", 1, 1))
+	require.Len(t, out.take(), 1)
+	sch.Pause(start, "me", []pause.Server{{ID: "m1", Until: start.Add(wait)}, {ID: "m2", Until: start.Add(wait)}})
+	now := start.Add(shedPeriod)
+	sch.Tick(now)
+	require.Equal(t, reasonPaused, out.verdicts["r2"].Reason, "it was admitted before")
+	require.Equal(t, wait-shedPeriod, out.verdicts["r2"].After)
+}
+
+// A pool all of whose servers want no calls must not take jobs that can't wait so long.
+func TestPausedPoolRefusesAtOnce(t *testing.T) {
+	sch, out := newScheduler([]stock.Entry{entry("first", "f1", "z"), entry("second", "s1", "z"), entry("model", "m1", "z")}...)
+	sch.PauseCalls(start, pause.Server{ID: "f1", Until: start.Add(20 * time.Second)})
+	sch.Submit(start, spec("r1", 1, 1))
+	require.Equal(t, Refused, out.verdicts["r1"].Outcome)
+	require.Positive(t, out.verdicts["r1"].After)
+}
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lovagestream/core/health"
+	"lovagestream/core/pause"
 	"lovagestream/core/rates"
 	"lovagestream/core/stock"
 	"lovagestream/core/table"
@@ -22,6 +23,8 @@
 	servers map[string]*server
 	// rates are the limits that servers name.
 	rates *rates.Book
+	// pauses are the scheduler's.
+	pauses *pause.Book[pauseKey]
 	// nextFill is when its servers are looked at again after they could take nothing.
 	nextFill time.Time
 	// waits are the usual waits of pieces for their call.
@@ -95,8 +98,8 @@
 	limit time.Time
 }
 
-func newPool(svc *table.Service, lim *rates.Book) *pool {
-	return &pool{svc: svc, rates: lim, waits: waits{}, servers: map[string]*server{}, waiting: map[*job][]*piece{}, times: map[kind]time.Duration{}, fill: float64(svc.Batch.Size) / 2}
+func newPool(svc *table.Service, lim *rates.Book, pau *pause.Book[pauseKey]) *pool {
+	return &pool{svc: svc, rates: lim, pauses: pau, waits: waits{}, servers: map[string]*server{}, waiting: map[*job][]*piece{}, times: map[kind]time.Duration{}, fill: float64(svc.Batch.Size) / 2}
 }
 
 // configure takes the live servers in; lost is called for each that is gone or
@@ -278,7 +281,7 @@
 
 // free reports whether a server should get its next call now.
 func (pol *pool) free(now time.Time, ser *server) bool {
-	if !ser.usable(now) || !pol.rates.May(now, ser.ent.ID) {
+	if !ser.usable(now) || pol.paused(now, ser) > 0 || !pol.rates.May(now, ser.ent.ID) {
 		return false
 	}
 	num := len(ser.inFlight)
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -18,6 +18,7 @@
 import (
 	"time"
 
+	"lovagestream/core/pause"
 	"lovagestream/core/place"
 	"lovagestream/core/rates"
 	"lovagestream/core/stock"
@@ -73,6 +74,8 @@
 	// how many jobs go before one by service.
 	rates  *rates.Book
 	queued map[string]int
+	// pauses are servers that want nothing for a time, by who asked.
+	pauses *pause.Book[pauseKey]
 	number uint64
 	// sizes are the usual sizes of kinds of requests.
 	sizes map[sizeKey]float64
@@ -93,7 +96,7 @@
 // New returns an empty scheduler that keeps to the limits of a book.
 func New(out Effects, repeats *RetryBudget, lim *rates.Book) *Scheduler {
 	return &Scheduler{
-		rates: lim, queued: map[string]int{},
+		rates: lim, queued: map[string]int{}, pauses: pause.NewBook[pauseKey](),
 		out: out, jobs: map[Key]*job{}, pools: map[string]*pool{}, engines: map[string]*place.Pool{},
 		inFlight: map[uint64]*activeCall{}, ready: map[Key]*job{}, repeats: repeats, sizes: map[sizeKey]float64{}, refused: map[uint64]refusal{}, suspicions: map[string]*suspicion{},
 	}
@@ -145,7 +148,7 @@
 func (sch *Scheduler) pool(svc *table.Service) *pool {
 	pol := sch.pools[svc.Name]
 	if pol == nil {
-		pol = newPool(svc, sch.rates)
+		pol = newPool(svc, sch.rates, sch.pauses)
 		sch.pools[svc.Name] = pol
 	}
 	return pol
@@ -292,7 +295,7 @@
 	sch.restore(now, job)
 	job.since = now
 	job.begun = true
-	job.run = eng.Place(now, engine, ask(&spc, nil))
+	job.run = eng.Place(now, engine, sch.ask(now, &spc, nil))
 	sch.add(job)
 }
 
--- a/core/sched/shed.go
+++ b/core/sched/shed.go
@@ -27,6 +27,7 @@
 // transferable up and down within a second: held against that, hundreds of jobs were
 // given up at one moment after 0.7 s, and servers stood idle the next.
 func (sch *Scheduler) shed(now time.Time) {
+	sch.pauses.Sweep(now)
 	jobs := make([]*job, 0, len(sch.list))
 	for _, job := range sch.list {
 		if job.run == nil && !job.over {
@@ -72,6 +73,11 @@
 		job.expected = wait
 		return true
 	}
+	if wait := sch.pauseWait(now, job); wait > left {
+		job.paused = true
+		job.expected = wait
+		return true
+	}
 	if !job.rank.late || job.begun {
 		return false
 	}
@@ -95,6 +101,8 @@
 		after, reason = unknownWait, reasonNoServer
 	case job.limited:
 		reason = reasonLimited
+	case job.paused:
+		after, reason = max(soonest, sch.pauseWait(now, job)), reasonPaused
 	}
 	sch.end(now, job)
 	sch.refuse(now, job, Decision{Reason: reason, After: after, Expected: job.expected, Allowed: job.spec.Give.Sub(now)})
--- a/core/sched/types.go
+++ b/core/sched/types.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"lovagestream/core/call"
+	"lovagestream/core/pause"
 	"lovagestream/core/stock"
 	"lovagestream/core/table"
 )
@@ -53,6 +54,8 @@
 	// which draws on the budget of repeats and was admitted before.
 	Avoid []string
 	Again bool
+	// Paused are servers that want nothing from the entry instance.
+	Paused []pause.Server
 }
 
 // Item is one piece in a call.
--- a/io/conns/conns_test.go
+++ b/io/conns/conns_test.go
@@ -70,3 +70,25 @@
 	testWait = 5 * time.Second
 	testPoll = time.Millisecond
 )
+
+// A server asks for a pause while a connection to it is opened; the request must not
+// follow.
+func TestCheckKeepsRequestFromBeingSent(t *testing.T) {
+	got := make(chan string, 2)
+	srv := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, req *http.Request) { got <- req.URL.Path }))
+	defer srv.Close()
+	poo := NewPool(clock.System{}, group.New(context.Background()), nil)
+	address := srv.Listener.Addr().String()
+	head := func(int, http.Header) call.Answer { return call.Answer{} }
+	barred := errors.New("barred")
+	_, err := poo.Do(context.Background(), Send{Address: address, Method: http.MethodGet, Target: "/first", Host: address, Check: func() error { return barred }}, "", head)
+	var snt *SentError
+	require.True(t, errors.As(err, &snt))
+	require.False(t, snt.Sent)
+	require.ErrorIs(t, err, barred)
+	rep, err := poo.Do(context.Background(), Send{Address: address, Method: http.MethodGet, Target: "/second", Host: address, Check: func() error { return nil }}, "", head)
+	require.NoError(t, err)
+	rep.Close()
+	require.Equal(t, "/second", <-got)
+	require.Equal(t, int64(1), poo.Made(), "the connection is kept")
+}
--- a/io/conns/exchange.go
+++ b/io/conns/exchange.go
@@ -27,6 +27,9 @@
 	// Most is how many connections this instance may hold to the server, kept
 	// ones included; 0 is no bound.
 	Most int
+	// Check decides, once a connection stands, whether the request is sent; nil
+	// sends it.
+	Check func() error
 }
 
 // Head reads what an answer's head says.
@@ -63,6 +66,12 @@
 	if err != nil {
 		return nil, &SentError{Address: snd.Address, Cause: err}
 	}
+	if snd.Check != nil {
+		if err := snd.Check(); err != nil {
+			poo.keep(con, 0)
+			return nil, &SentError{Address: snd.Address, Cause: err}
+		}
+	}
 	rep := &Reply{poo: poo, con: con, ask: &http.Request{Method: snd.Method}, wrote: make(chan struct{})}
 	rep.stop = context.AfterFunc(ctx, func() { _ = con.Close() })
 	poo.grp.Go(func(context.Context) error {
--- a/io/edge/calls.go
+++ b/io/edge/calls.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"lovagestream/core/call"
+	"lovagestream/core/pause"
 	"lovagestream/core/sched"
 	"lovagestream/io/clock"
 	"lovagestream/io/conns"
@@ -95,9 +96,10 @@
 	if err != nil {
 		return nil, sched.NoReply, err
 	}
-	rep, err := cal.poo.Do(ctx, conns.Send{Address: ask.Server.Address, Method: method, Target: target, Host: ask.Server.Address, Fields: fields, Body: body, Most: cal.ctl.View().Connections(ask.Server.Service)}, "", cal.dia.Answer)
+	rep, err := cal.poo.Do(ctx, conns.Send{Address: ask.Server.Address, Method: method, Target: target, Host: ask.Server.Address, Fields: fields, Body: body, Most: cal.ctl.View().Connections(ask.Server.Service), Check: func() error { return cal.ctl.MaySend(ask.Server.ID) }}, "", cal.dia.Answer)
 	var tak *conns.TakenError
-	if errors.As(err, &tak) {
+	var pau *pause.Error
+	if errors.As(err, &tak) || errors.As(err, &pau) {
 		return nil, sched.Full, err
 	}
 	if err != nil {
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -99,6 +99,7 @@
 	sched   *sched.Scheduler
 	repeats *sched.RetryBudget
 	limits  *limits
+	pauses  *pauses
 	marks   *marks.Table
 	// wrongServers are servers whose address answered for another, by the
 	// revision of their entry.
@@ -172,7 +173,7 @@
 	ctl := &Control{
 		set: set, clk: clk, dec: dec, jou: jou, que: make(chan event, queueLength),
 		mem:  member.NewSet(member.Member{Address: set.Told, Zone: set.Zone, Born: born, Share: set.Share}),
-		book: stock.NewBook(), repeats: sched.NewRetryBudget(set.RepeatRatio, set.RepeatSlack, set.RepeatWindow), limits: newLimits(),
+		book: stock.NewBook(), repeats: sched.NewRetryBudget(set.RepeatRatio, set.RepeatSlack, set.RepeatWindow), limits: newLimits(), pauses: newPauses(),
 		wrongServers: map[string]stock.Revision{}, waiters: map[string]*waiter{}, news: newNews(), said: said{missed: map[string]bool{}}, large: make(chan struct{}, largeMessages), ended: make(chan struct{}), relinked: map[string]bool{}, frees: map[string][]string{}, colds: map[string]time.Time{}, unreadable: map[evUnreadable]bool{}, asked: map[string]int{},
 		verified: true, startedAt: now, ticked: now, boot: bootTime(), coordinator: set.Told, reread: func() {},
 	}
--- a/io/edge/duties.go
+++ b/io/edge/duties.go
@@ -177,6 +177,7 @@
 	}
 	ctl.settleRemovals(now)
 	ctl.settleLimits(now)
+	ctl.pauses.sweep(now)
 	ctl.verify(now)
 	ctl.tellMembers(now)
 	ctl.duties(now)
--- a/io/edge/gauges.go
+++ b/io/edge/gauges.go
@@ -27,11 +27,13 @@
 	// zones.
 	colds     int
 	evacuated int
+	// paused counts servers that want nothing from this instance.
+	paused int
 }
 
 // state makes the stats of a moment.
 func (ctl *Control) state(now time.Time) *stats {
-	sta := &stats{servers: len(ctl.live), waiters: len(ctl.waiters), jobs: ctl.sched.Jobs(), coordinator: ctl.coordinator, reads: ctl.Duty().Reads, storeAge: -1, verified: ctl.verified, limits: ctl.limits.book.All(), unplaced: ctl.sched.Unplaced(), colds: ctl.limits.book.ColdServers(), evacuated: len(ctl.evacuated)}
+	sta := &stats{servers: len(ctl.live), waiters: len(ctl.waiters), jobs: ctl.sched.Jobs(), coordinator: ctl.coordinator, reads: ctl.Duty().Reads, storeAge: -1, verified: ctl.verified, limits: ctl.limits.book.All(), unplaced: ctl.sched.Unplaced(), colds: ctl.limits.book.ColdServers(), evacuated: len(ctl.evacuated), paused: len(ctl.pauses.list(now))}
 	sta.live, sta.known = ctl.mem.Count(now)
 	if ctl.tab != nil {
 		sta.version = ctl.tab.Version()
@@ -59,6 +61,7 @@
 	read("limits", func(sta *stats) any { return limitsRead(sta) })
 	read("requests-unplaced", func(sta *stats) any { return sta.unplaced })
 	read("servers-cold", func(sta *stats) any { return sta.colds })
+	read("servers-paused", func(sta *stats) any { return sta.paused })
 	read("servers-evacuated", func(sta *stats) any { return sta.evacuated })
 	read("verified", func(sta *stats) any { return sta.verified })
 	nod.gau.Read("requests-active", func() any { return nod.srv.Active() })
--- a/io/edge/handover.go
+++ b/io/edge/handover.go
@@ -31,6 +31,7 @@
 // reached.
 func (ctl *Control) submitTo(now time.Time, wai *waiter, coordinator string) {
 	wai.coordinator = coordinator
+	wai.spec.Paused = ctl.pauses.list(now)
 	if coordinator != ctl.set.Told && ctl.lnk.Send(coordinator, mesh.Submit{Spec: wai.spec}) {
 		ctl.noteSubmitted(wai)
 		return
@@ -57,6 +58,7 @@
 			ctl.asked[stg.Service] += spc.Pieces[num]
 		}
 	}
+	ctl.sched.Pause(now, spc.Key.Owner, spc.Paused)
 	ctl.sched.Submit(now, spc)
 }
 
@@ -161,6 +163,7 @@
 		return
 	}
 	evt.spec.Attempt = wai.spec.Attempt
+	evt.spec.Paused = ctl.pauses.list(now)
 	if !evt.inputsGone {
 		evt.spec.Held = wai.spec.Held
 	}
@@ -174,6 +177,7 @@
 
 // retry goes on with a job's results, or begins again where it isn't known.
 func (ctl *Control) retry(now time.Time, spc sched.Spec, how place.Outcome, inputsGone bool) {
+	ctl.sched.Pause(now, spc.Key.Owner, spc.Paused)
 	if !ctl.sched.Retry(now, spc.Key, how, inputsGone) {
 		ctl.submit(now, spc)
 	}
--- a/io/edge/limits.go
+++ b/io/edge/limits.go
@@ -180,8 +180,8 @@
 	ctl.jou.Note("limit-changed", fie)
 }
 
-// sendFrees gives up the results that were collected. At a limited server they
-// wait and go together: each is a request that counts.
+// sendFrees gives up the results that were collected. At a limited server, or one
+// that wants no requests, they wait and go together: each is a request that counts.
 func (ctl *Control) sendFrees(now time.Time) {
 	for adr, handles := range ctl.frees {
 		if ctl.evacuated[adr] {
@@ -189,6 +189,10 @@
 			delete(ctl.frees, adr)
 			continue
 		}
+		if ctl.pausedAt(now, adr) {
+			// They go once it takes requests again, or expire by themselves before.
+			continue
+		}
 		if own, limited := ctl.limitAt(now, adr); limited {
 			pause := max(freeEvery, time.Duration(float64(time.Second)/(freeShare*own)))
 			if now.Sub(ctl.limits.freed[adr]) < pause {
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -18,6 +18,7 @@
 
 	"lovagestream/core/call"
 	"lovagestream/core/marks"
+	"lovagestream/core/pause"
 	"lovagestream/core/sched"
 	"lovagestream/core/stock"
 	"lovagestream/core/table"
@@ -378,7 +379,7 @@
 	snd := conns.Send{
 		Address: ent.Address, Method: vis.req.Method, Target: vis.req.Target, Host: vis.req.Host,
 		Fields: vis.srv.dia.Outgoing(vis.req, ext), Body: vis.req.Body,
-		Most: vis.srv.ctl.View().Connections(vis.service),
+		Most: vis.srv.ctl.View().Connections(vis.service), Check: func() error { return vis.srv.ctl.MaySend(ent.ID) },
 	}
 	rep, err = vis.srv.poo.Do(ctx, snd, vis.req.ID, vis.srv.dia.Answer)
 	if err == nil && rep.Answer.Status != http.StatusMisdirectedRequest {
@@ -414,18 +415,34 @@
 	vis.answered = true
 }
 
-// taken reports a send for which this instance had no connection to spare.
-func taken(err error) bool {
-	var tak *conns.TakenError
-	return errors.As(err, &tak)
-}
+const (
+	// reasonTaken and reasonPaused are of sends that this instance didn't make: it had
+	// no connection to spare, or the server wants nothing from it.
+	reasonTaken  = "connections-taken"
+	reasonPaused = "server-paused"
+)
 
-// notSent reports whether an error proves that no byte left.
-func notSent(err error) bool {
+// unsent sorts out sends of which no byte left; false for all others.
+func unsent(err error) (outcome, bool) {
 	var snt *conns.SentError
-	return errors.As(err, &snt) && !snt.Sent
+	if !errors.As(err, &snt) || snt.Sent {
+		return outcome{}, false
+	}
+	out := outcome{again: true, reason: "not-reached", err: err}
+	var tak *conns.TakenError
+	var pau *pause.Error
+	switch {
+	case errors.As(err, &tak):
+		out.reason = reasonTaken
+	case errors.As(err, &pau):
+		out.reason, out.after = reasonPaused, pau.Left
+	}
+	return out, true
 }
 
+// spared reports an outcome that says nothing of the server.
+func (out *outcome) spared() bool { return out.reason == reasonTaken || out.reason == reasonPaused }
+
 // endKind keeps lines of failures and of successes apart, so that neither
 // crowds the other out.
 func endKind(status int) string {
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -94,9 +94,11 @@
 	return ctl.Submit(spc)
 }
 
-func (ctl *testControl) Withdraw(string)                {}
-func (ctl *testControl) Heard(stock.Entry, call.Answer) {}
-func (ctl *testControl) Began(string)                   {}
+func (ctl *testControl) Withdraw(string)                                       {}
+func (ctl *testControl) Heard(stock.Entry, call.Answer)                        {}
+func (ctl *testControl) MaySend(string) error                                  { return nil }
+func (ctl *testControl) Paused([]stock.Entry) (map[string]bool, time.Duration) { return nil, 0 }
+func (ctl *testControl) Began(string)                                          {}
 func (ctl *testControl) Ended(_ string, out place.Outcome) {
 	ctl.mu.Lock()
 	defer ctl.mu.Unlock()
--- a/io/entry/generate.go
+++ b/io/entry/generate.go
@@ -140,11 +140,8 @@
 	ext.Inputs, ext.HasInputs = inputs, len(vis.rou.Stages) > 0
 	ext.LastEvent = stm.last
 	rep, err := vis.sendTo(ctx, ent, ext)
-	if taken(err) {
-		return sending{outcome{again: true, reason: "connections-taken", err: err}, place.Full}
-	}
-	if err != nil && notSent(err) {
-		return sending{outcome{again: true, reason: "not-reached", err: err}, place.Failed}
+	if out, held := unsent(err); held {
+		return sending{out, unsentOutcome(out)}
 	}
 	vis.sent++
 	if err != nil {
@@ -169,6 +166,17 @@
 	return sending{out, how}
 }
 
+// unsentOutcome says what a send that was not made means for its engine.
+func unsentOutcome(out outcome) place.Outcome {
+	switch out.reason {
+	case reasonTaken:
+		return place.Full
+	case reasonPaused:
+		return place.Done
+	}
+	return place.Failed
+}
+
 // blame says what a refused or odd answer means for its engine.
 func (vis *visit) blame(rep *conns.Reply) place.Outcome {
 	switch {
--- a/io/entry/paced.go
+++ b/io/entry/paced.go
@@ -56,7 +56,7 @@
 // fault is what an outcome says of its server.
 func (vis *visit) fault(ctx context.Context, out outcome) place.Outcome {
 	switch {
-	case vis.answered || ctx.Err() != nil || out.reason == "server-error" || out.reason == "connections-taken":
+	case vis.answered || ctx.Err() != nil || out.reason == "server-error" || out.spared():
 		return place.Done
 	case out.reason == "stranger":
 		return place.Stranger
--- a/io/entry/plain.go
+++ b/io/entry/plain.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -104,6 +105,7 @@
 			ent, ok = vis.choose(now, avoid)
 		}
 		if !ok {
+			last = vis.pausedOut(last, num > 0)
 			break
 		}
 		avoid[ent.ID] = true
@@ -134,6 +136,10 @@
 func (vis *visit) choose(now time.Time, avoid map[string]bool) (ent stock.Entry, ok bool) {
 	viw := vis.srv.ctl.View()
 	list := viw.Servers[vis.service]
+	if paused, _ := vis.srv.ctl.Paused(list); paused != nil {
+		maps.Copy(paused, avoid)
+		avoid = paused
+	}
 	vis.srv.pln.with(vis.service, func(pol *pick.Pool) {
 		pol.Suspect(viw.Dark)
 		pol.Trim(list)
@@ -145,6 +151,20 @@
 	return ent, ok
 }
 
+// pausedOut tells a caller for whom no server was found when to come back, if all
+// want nothing from this instance now.
+func (vis *visit) pausedOut(last outcome, tried bool) outcome {
+	_, wait := vis.srv.ctl.Paused(vis.srv.ctl.View().Servers[vis.service])
+	if wait == 0 {
+		return last
+	}
+	last.after = wait
+	if !tried {
+		last.reason = "servers-paused"
+	}
+	return last
+}
+
 // conclude answers a request that no server answered.
 func (vis *visit) conclude(ctx context.Context, last outcome) {
 	switch {
@@ -176,7 +196,7 @@
 			pol.Left(vis.srv.clk.Now(), ent.ID, took)
 		case out.reason == "server-error":
 			pol.Answered(ent.ID, took)
-		case out.reason == "connections-taken":
+		case out.spared():
 			pol.Spared(ent.ID)
 		case !out.ran && out.reason != "not-reached":
 			pol.Refused(vis.srv.clk.Now(), ent.ID)
@@ -192,11 +212,8 @@
 	// Nothing else tells of a request that is lost with this instance.
 	vis.srv.jou.Note("request-sent", lines.Fields{"id": vis.req.ID, "server": ent.ID, "service": vis.service, "waited": vis.srv.clk.Now().Sub(vis.arrived).Milliseconds()})
 	rep, err := vis.sendTo(ctx, ent, vis.extras(ent.ID))
-	if taken(err) {
-		return outcome{again: true, reason: "connections-taken", err: err}
-	}
-	if err != nil && notSent(err) {
-		return outcome{again: true, reason: "not-reached", err: err}
+	if out, held := unsent(err); held {
+		return out
 	}
 	vis.sent++
 	if err != nil {
--- a/io/entry/view.go
+++ b/io/entry/view.go
@@ -80,6 +80,12 @@
 	Crashed(pri marks.Print, server string)
 	// Heard tells what an answer of a server says of the server itself.
 	Heard(ent stock.Entry, ans call.Answer)
+	// MaySend returns a *pause.Error for a server that wants nothing from this
+	// instance now.
+	MaySend(server string) error
+	// Paused returns which of some servers want nothing from this instance, and how
+	// long until the first takes requests again if none does now.
+	Paused(list []stock.Entry) (paused map[string]bool, wait time.Duration)
 	// Stranger tells that another server has a server's address.
 	Stranger(ent stock.Entry)
 }
--- a/io/mesh/message.go
+++ b/io/mesh/message.go
@@ -8,6 +8,7 @@
 
 	"lovagestream/core/call"
 	"lovagestream/core/member"
+	"lovagestream/core/pause"
 	"lovagestream/core/place"
 	"lovagestream/core/rates"
 	"lovagestream/core/sched"
@@ -270,6 +271,9 @@
 	for _, par := range spc.Parts {
 		out.Parts = append(out.Parts, &wire.Part{Id: par.ID, Tokens: int32(par.Tokens)})
 	}
+	for _, one := range spc.Paused {
+		out.Paused = append(out.Paused, &wire.Paused{Server: one.ID, Left: one.Until.Sub(now).Microseconds()})
+	}
 	for idx := range spc.Held {
 		hld := fromHeld(now, &spc.Held[idx])
 		// The request has its name and attempt once.
@@ -307,6 +311,9 @@
 	for _, par := range sub.GetParts() {
 		spc.Parts = append(spc.Parts, call.Part{ID: par.GetId(), Tokens: int(par.GetTokens())})
 	}
+	for _, one := range sub.GetPaused() {
+		spc.Paused = append(spc.Paused, pause.Server{ID: one.GetServer(), Until: at(one.GetLeft())})
+	}
 	for _, hld := range sub.GetHeld() {
 		spc.Held = append(spc.Held, toHeld(now, spc.Key, spc.Attempt, hld))
 	}
--- a/io/mesh/message_test.go
+++ b/io/mesh/message_test.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
+	"lovagestream/core/pause"
 	"lovagestream/core/sched"
 	"lovagestream/core/table"
 	"lovagestream/io/mesh/wire"
@@ -42,6 +43,7 @@
 	}
 	hld.Key.Owner = "peer"
 	spc.Held = []sched.Held{hld}
+	spc.Paused = []pause.Server{{ID: "i-7f3a91c2", Until: now.Add(3 * time.Second)}}
 	require.Equal(t, Submit{spc}, over(t, now, Submit{spc}))
 	require.Equal(t, Adopt{Spec: spc, Engine: "e"}, over(t, now, Adopt{Spec: spc, Engine: "e"}))
 }
