A request that every server refused is refused at once

Callers waited to their deadline: in the script of paused servers, a request whose only engine had refused it heard so after 1.96 s of 2.

Cause: a request is not placed where it was before, and admission and shedding looked only whether the service has servers, not whether it has one that this request may still be placed at. It waited for an engine that could not come.

TestRequestRefusedEverywhereIsRefusedAtOnce failed before (no decision at all).

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -133,10 +133,10 @@
 }
 
 // Staffed reports whether the pool has a server that stays, whatever its load and
-// health.
-func (pol *Pool) Staffed() bool {
-	for _, eng := range pol.engines {
-		if !eng.ent.Leaving {
+// health, beside some.
+func (pol *Pool) Staffed(beside map[string]bool) bool {
+	for id, eng := range pol.engines {
+		if !eng.ent.Leaving && !beside[id] {
 			return true
 		}
 	}
--- a/core/sched/job.go
+++ b/core/sched/job.go
@@ -162,15 +162,20 @@
 	}
 }
 
-func (sch *Scheduler) ask(now time.Time, spc *Spec, inputs map[string]int64) place.Ask {
-	var avoid map[string]bool
-	if len(spc.Avoid) > 0 {
-		avoid = make(map[string]bool, len(spc.Avoid))
-		for _, id := range spc.Avoid {
-			avoid[id] = true
-		}
+// avoid returns the engines that a request was at before; nil if there are none.
+func (spc *Spec) avoid() map[string]bool {
+	if len(spc.Avoid) == 0 {
+		return nil
 	}
-	return place.Ask{Parts: spc.Parts, Prompt: spc.Prompt, Output: spc.Output, Inputs: inputs, Avoid: avoid, Paused: sch.pausedFor(now, spc.Key.Owner)}
+	out := make(map[string]bool, len(spc.Avoid))
+	for _, id := range spc.Avoid {
+		out[id] = true
+	}
+	return out
+}
+
+func (sch *Scheduler) ask(now time.Time, spc *Spec, inputs map[string]int64) place.Ask {
+	return place.Ask{Parts: spc.Parts, Prompt: spc.Prompt, Output: spc.Output, Inputs: inputs, Avoid: spc.avoid(), Paused: sch.pausedFor(now, spc.Key.Owner)}
 }
 
 // open reports whether the stages before a stage are complete.
--- a/core/sched/order.go
+++ b/core/sched/order.go
@@ -267,6 +267,9 @@
 	if !sch.servable(job) {
 		return false, unknownWait, reasonNoServer
 	}
+	if sch.exhausted(job) {
+		return false, soonest, reasonNoOther
+	}
 	if job.spec.Again {
 		if !sch.repeats.Allow(now, job.spec.Service) {
 			return false, soonest, "no-repeats-left"
--- a/core/sched/paused_test.go
+++ b/core/sched/paused_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"lovagestream/core/pause"
+	"lovagestream/core/place"
 	"lovagestream/core/stock"
 )
 
@@ -77,3 +78,21 @@
 	require.Equal(t, Refused, out.verdicts["r1"].Outcome)
 	require.Positive(t, out.verdicts["r1"].After)
 }
+
+// Every engine of a service has refused a request. It can't be placed any more, and its
+// caller must not learn that at its deadline.
+func TestRequestRefusedEverywhereIsRefusedAtOnce(t *testing.T) {
+	sch, out := newScheduler(entry("model", "m1", "z"), entry("model", "m2", "z"))
+	one := spec("r1")
+	one.Stages = nil
+	sch.Submit(start, one)
+	for range 2 {
+		require.Equal(t, Placed, out.verdicts["r1"].Outcome)
+		delete(out.verdicts, "r1")
+		require.True(t, sch.Retry(start, one.Key, place.Full, false))
+	}
+	sch.Tick(start.Add(shedPeriod))
+	require.Equal(t, Refused, out.verdicts["r1"].Outcome)
+	require.Equal(t, reasonNoOther, out.verdicts["r1"].Reason)
+	require.Positive(t, out.verdicts["r1"].After)
+}
--- a/core/sched/shed.go
+++ b/core/sched/shed.go
@@ -64,7 +64,7 @@
 	left := job.spec.Give.Sub(now)
 	least := sch.least(job)
 	job.expected = least
-	if least > left || !sch.servable(job) {
+	if least > left || !sch.servable(job) || sch.exhausted(job) {
 		return true
 	}
 	if wait := sch.limitWait(now, job); wait > left {
@@ -99,6 +99,8 @@
 	switch {
 	case !sch.servable(job):
 		after, reason = unknownWait, reasonNoServer
+	case sch.exhausted(job):
+		reason = reasonNoOther
 	case job.limited:
 		reason = reasonLimited
 	case job.paused:
