A refusal at the entry says what its forecast rests on

Observability for the known failure of reordered-replies.script: a request is refused as overloaded beside much load, and nothing says why. The refusal's detail now has the wait and what it was held against, and by pool the calls ahead, how long one takes, and how many run at once.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -46,6 +46,8 @@
 	refusal result.Reason
 	// wait is when to come back after a refusal.
 	wait time.Duration
+	// why tells what a refusal rests on, or is empty.
+	why string
 	// priority goes to the engine's queue; less is sooner.
 	priority int
 }
@@ -53,6 +55,9 @@
 // Refusal returns why the request should not go on, or "".
 func (ver Verdict) Refusal() result.Reason { return ver.refusal }
 
+// Why tells what a refusal rests on, or is empty.
+func (ver Verdict) Why() string { return ver.why }
+
 // Wait returns when coming back is worth it.
 func (ver Verdict) Wait() time.Duration { return ver.wait }
 
--- a/core/admit/finish.go
+++ b/core/admit/finish.go
@@ -1,7 +1,9 @@
 package admit
 
 import (
+	"fmt"
 	"math"
+	"strings"
 	"time"
 
 	"lovagestream/core/config"
@@ -51,12 +53,11 @@
 		return Verdict{refusal: result.DeadlineTooSoon}
 	}
 	served := ask.rest(0, func(stg *config.Stage) time.Duration {
-		_, took := ask.forecast(stg)
-		return max(took, ask.least(stg))
+		return max(ask.forecast(stg).took, ask.least(stg))
 	})
 	wait := ask.rest(0, func(stg *config.Stage) time.Duration {
-		wait, took := ask.forecast(stg)
-		return wait + max(took, ask.least(stg))
+		fct := ask.forecast(stg)
+		return fct.wait + max(fct.took, ask.least(stg))
 	}) - served
 	part := fullPart * math.Pow(classPart, float64(ask.rank()))
 	if ask.boo.accounts.excess(ask.acc) > greedy {
@@ -65,13 +66,25 @@
 	if room := time.Duration(float64(plan-served) * part); wait > 0 && wait > room {
 		// What is over drains as fast as it is served; before that, coming
 		// back would meet the same answer.
-		return Verdict{refusal: result.Overloaded, wait: max(leastWait, wait-room)}
+		return Verdict{refusal: result.Overloaded, wait: max(leastWait, wait-room), why: ask.why(wait, room)}
 	}
 	return Verdict{}
 }
 
-// forecast is the wait at a stage's pool and the time it takes then.
-func (ask Ask) forecast(stg *config.Stage) (wait, took time.Duration) {
+// why tells what a wait is made of, by stage, and what it was held against.
+func (ask Ask) why(wait, room time.Duration) string {
+	var out strings.Builder
+	fmt.Fprintf(&out, "it would wait %v of %v that it may", wait.Round(time.Millisecond), room.Round(time.Millisecond))
+	for _, stg := range ask.pip.Stages() {
+		if fct := ask.forecast(stg); fct.wait > 0 {
+			fmt.Fprintf(&out, "; %v at pool %s behind %.0f calls of %v, %.0f at once", fct.wait.Round(time.Millisecond), stg.Pool(), fct.queue, fct.each.Round(time.Millisecond), fct.size)
+		}
+	}
+	return out.String()
+}
+
+// forecast is what a stage's pool would make of its call.
+func (ask Ask) forecast(stg *config.Stage) forecast {
 	return ask.boo.flow(stg.Pool()).forecast(ask.now, ask.rank(), ask.boo.units(ask.pip, stg))
 }
 
@@ -89,7 +102,7 @@
 	if least := ask.rest(ask.stage, ask.least); least > ask.left {
 		return Verdict{refusal: result.DeadlineTooSoon}
 	}
-	if wait, took := ask.forecast(ask.pip.Stages()[ask.stage]); wait > 0 && wait+took > ask.left {
+	if fct := ask.forecast(ask.pip.Stages()[ask.stage]); fct.wait > 0 && fct.wait+fct.took > ask.left {
 		return Verdict{refusal: result.DeadlineTooSoon}
 	}
 	slack := ask.left - ask.rest(ask.stage, ask.usual)
--- a/core/admit/flow.go
+++ b/core/admit/flow.go
@@ -53,18 +53,28 @@
 	flo.load, flo.at = load, now
 }
 
-// forecast is how long a call of some units would have to wait behind the work
-// of its class and those above it, and how long it would take then. Both are 0
-// where too little is known.
+// forecast is what a pool would make of one more call.
+type forecast struct {
+	// wait is how long the call would have to wait behind the work of its class and
+	// those above it, took how long it would take then. Both are 0 where too little is
+	// known.
+	wait, took time.Duration
+	// queue is the calls ahead that have to wait, size how many run at once, and each
+	// how long one of them takes.
+	queue, size float64
+	each        time.Duration
+}
+
+// forecast foresees a call of some units.
 //
 // The queue is that of all entry instances: what the servers report, corrected
 // by own calls since, and the calls that are still at earlier stages here and,
 // as far as one can tell from here, at the others.
-func (flo *flow) forecast(now time.Time, rank int, units float64) (wait, took time.Duration) {
+func (flo *flow) forecast(now time.Time, rank int, units float64) forecast {
 	flo.mu.Lock()
 	defer flo.mu.Unlock()
 	if flo.load.PerUnit() == 0 || now.Sub(flo.at) > stale || now.Sub(flo.ended) > stale {
-		return 0, 0
+		return forecast{}
 	}
 	coming, ahead, all := 0, 0, 0
 	for i := range ranks {
@@ -78,7 +88,7 @@
 	total := flo.load.Load() + float64(coming*flo.load.Entries())
 	queue := total - flo.load.Size()
 	if queue <= 0 {
-		return 0, seconds(units * flo.load.PerUnit() * route.Stretch(total, flo.load.Size()))
+		return forecast{took: seconds(units * flo.load.PerUnit() * route.Stretch(total, flo.load.Size()))}
 	}
 	if all > 0 {
 		// The others' queue is taken to be made up as this instance's own is.
@@ -86,7 +96,10 @@
 	}
 	// What stands ahead is of any size, so its wait goes by the mean work.
 	busy := flo.load.PerUnit() * route.Stretch(flo.load.Size(), flo.load.Size())
-	return seconds(busy * flo.units * queue / flo.load.Size()), seconds(busy * units)
+	return forecast{
+		wait: seconds(busy * flo.units * queue / flo.load.Size()), took: seconds(busy * units),
+		queue: queue, size: flo.load.Size(), each: seconds(busy * flo.units),
+	}
 }
 
 func seconds(sec float64) time.Duration { return time.Duration(sec * float64(time.Second)) }
@@ -98,8 +111,7 @@
 
 // Full reports whether new calls would have to wait at a pool's servers.
 func (boo *Book) Full(now time.Time, pool string) bool {
-	wait, _ := boo.flow(pool).forecast(now, ranks-1, 1)
-	return wait > 0
+	return boo.flow(pool).forecast(now, ranks-1, 1).wait > 0
 }
 
 func (boo *Book) flow(pool string) *flow {
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -77,7 +77,7 @@
 		return nil, req.proof.Refuse(result.RequestCrashes, 0, nil, crashDetail)
 	}
 	if ver := rnr.pols.adm.Decide(rnr.ask(now, req)); ver.Refusal() != "" {
-		return nil, req.proof.Refuse(ver.Refusal(), ver.Wait(), nil, "the request could not end within its deadline now")
+		return nil, req.proof.Refuse(ver.Refusal(), ver.Wait(), nil, detail("the request could not end within its deadline now", ver.Why()))
 	}
 	dctx, cancel := context.WithDeadline(ctx, req.deadline)
 	defer cancel()
@@ -91,6 +91,14 @@
 	return nil, rnr.refusal(ctx, dctx, req, err)
 }
 
+// detail joins a sentence and what it rests on.
+func detail(text, why string) string {
+	if why == "" {
+		return text
+	}
+	return text + ": " + why
+}
+
 func (rnr *Runner) ask(now time.Time, req *Request) admit.Ask {
 	return admit.NewAsk(rnr.boo, req.pip, req.acc, now, req.deadline.Sub(now), req.doc.Preset().Headroom())
 }
