A server with nothing running isn't taken for full

Cause: how many calls a server runs at once is learnt from its reports: as many as ran in three reports on end while others waited. A report of none running and one waiting counted too. Three of those, as three lone calls bring from the stand-in, made a server of 8 slots one of a single slot, until a report showed more running; beside load that comes late. The forecast then put 26 calls of 159 ms one behind the other: 4.2 s. Class: a limit learnt from an absence, without a lower bound on what can be concluded.

Change: what waits while nothing runs says nothing of a server's size.

Evidence: the refusal's detail, 'behind 26 calls of 159 ms, 1 at once' at a pool of two rerankers of 8 slots each (one was set aside for its doubled replies). Ruled out: a real queue (all ended within 2 s), the time of a call (159 ms with 60 ms on the way), waits added along the path (4.143 of 4.229 s are of one pool).

TestIdleReportsShowNoSize failed before (size 1 of 8).

--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -237,3 +237,19 @@
 	require.EqualValues(t, 5, srv.Load(start.Add(time.Second), 1))
 	require.EqualValues(t, 2, srv.Load(start.Add(time.Second), 3))
 }
+
+// A server with nothing running isn't full, whatever it reports as waiting: taken for
+// one that runs a single call at once, it turns its pool's callers away.
+func TestIdleReportsShowNoSize(t *testing.T) {
+	srv := pool(1)[0]
+	for num := range 2 * surely {
+		srv.SetReport(NewReport(start.Add(time.Duration(num)*time.Millisecond), 0, 1))
+	}
+	require.EqualValues(t, defaultSlots, srv.size())
+	for num := range surely {
+		srv.SetReport(NewReport(start.Add(time.Second+time.Duration(num)*time.Millisecond), 1, 1))
+	}
+	require.EqualValues(t, defaultSlots, srv.size(), "the first of them shows more running than before")
+	srv.SetReport(NewReport(start.Add(2*time.Second), 1, 1))
+	require.EqualValues(t, 1, srv.size(), "a server of one slot")
+}
--- a/core/route/server.go
+++ b/core/route/server.go
@@ -109,14 +109,14 @@
 const surely = 3
 
 // sizeUp learns how many calls run at once: the most that ran while others
-// had to wait.
+// had to wait. Where nothing runs, what waits is about to run or has just ended.
 func (srv *Server) sizeUp(rep *Report) {
 	num, most := int64(rep.running), srv.ran.Load()
 	switch {
 	case num > most:
 		srv.ran.Store(num)
 		srv.fullReports.Store(0)
-	case num == most && rep.waiting > 0:
+	case num == most && num > 0 && rep.waiting > 0:
 		srv.fullReports.Add(1)
 	case srv.fullReports.Load() < surely:
 		srv.fullReports.Store(0)
