The stand-in doesn't report a reply that is being written as a call that waits

Instances learn from such reports how many calls a server runs at once.

The protocol's figures are calls running and waiting; a call that has run is neither. TestLoneCallLeavesNothingWaiting failed before (waiting 1).

--- a/stand/back/host_test.go
+++ b/stand/back/host_test.go
@@ -182,3 +182,14 @@
 	require.Error(t, err)
 	require.True(t, hst.Starved())
 }
+
+// A reply that is being written is neither running nor waiting; reported as waiting, it
+// makes an idle server look full.
+func TestLoneCallLeavesNothingWaiting(t *testing.T) {
+	hst := startHost(t)
+	ans, err := ask(t, hst, stage.PathCall, "r/s/1/0", map[string]any{"inputs": []any{}})
+	require.NoError(t, err)
+	var got struct{ Load LoadBody }
+	require.NoError(t, json.Unmarshal([]byte(ans.lines[0]), &got))
+	require.Equal(t, LoadBody{}, got.Load)
+}
--- a/stand/back/plain.go
+++ b/stand/back/plain.go
@@ -33,10 +33,10 @@
 		wri.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	defer srv.dequeue()
 	select {
 	case srv.slots <- struct{}{}:
 	case <-req.Context().Done():
+		srv.dequeue()
 		return
 	}
 	run := srv.jrn.begin(call)
@@ -44,6 +44,7 @@
 	// A plain server carries a call that it began to its end, whether the
 	// other side still listens or not.
 	err := srv.serve(length)
+	srv.dequeue()
 	<-srv.slots
 	wrk := Work{busy: length}
 	if err != nil {
