A newcomer keeps a server's word that it leaves also before it knows the server

The word was dropped, and the entry that came next, from before the leaving, would have brought the server into use. Such a word now comes before all revisions of the store, and merges with the entry; a server that was removed keeps it as well, for entries that lapsed come back.

Names in estimate no longer hide the package pause.

--- a/core/sched/order.go
+++ b/core/sched/order.go
@@ -237,10 +237,10 @@
 	last := job.path(func(stg *stage, begin time.Duration) time.Duration {
 		return max(begin, stg.pool.ahead.wait()) + stg.alone() + stg.rounds() + hop
 	})
-	limit, pause := sch.limitWait(now, job), sch.pauseWait(now, job)
-	job.limited = limit > last && limit >= pause
-	job.paused = pause > last && pause > limit
-	return max(last, limit, pause) + read + hop
+	limited, paused := sch.limitWait(now, job), sch.pauseWait(now, job)
+	job.limited = limited > last && limited >= paused
+	job.paused = paused > last && paused > limited
+	return max(last, limited, paused) + read + hop
 }
 
 // rounds is the time of further calls if a stage has more pieces than all
--- a/core/stock/stock.go
+++ b/core/stock/stock.go
@@ -167,14 +167,17 @@
 
 func sameStart(one, two *Known) bool { return one.Entry.Born == two.Entry.Born }
 
-// Announced returns the word on a server that has said itself that it leaves, by
-// the start that said so; false where that start isn't known, or no news.
-func (bok *Book) Announced(id string, born int64) (Known, bool) {
-	old := bok.byID[id]
-	if old == nil || old.Gone || old.Entry.Leaving || old.Entry.Born != born {
-		return Known{}, false
+// Announced returns the word on a server that has said itself that it leaves, at the
+// revision that is known; false where that is no news, or of another start. A server
+// that isn't known, as to a newcomer, comes before all revisions of the store.
+func (bok *Book) Announced(ent Entry) (Known, bool) {
+	out := Known{Entry: ent}
+	if old := bok.byID[ent.ID]; old != nil {
+		if old.Entry.Leaving || old.Entry.Born != ent.Born {
+			return Known{}, false
+		}
+		out = Known{Revision: old.Revision, Entry: old.Entry}
 	}
-	out := *old
 	out.Entry.Leaving = true
 	return out, true
 }
--- a/io/edge/leaving.go
+++ b/io/edge/leaving.go
@@ -31,7 +31,7 @@
 // apply tells the peers, too: one that places requests for this instance, or that
 // sends its own, must know it as soon.
 func (evt evLeaving) apply(ctl *Control, now time.Time) {
-	kno, news := ctl.book.Announced(evt.ent.ID, evt.ent.Born)
+	kno, news := ctl.book.Announced(evt.ent)
 	if news && ctl.put(now, kno, fromAnswer) {
 		ctl.spread([]stock.Known{kno}, "")
 	}
