Soak: servers that announce their leaving, and servers that ask for pauses

The checker holds what ran against what each instance had passed on, and what a server got against the pauses that it asked of each instance (calls to stage servers are left to the scripts, which count by machine: a call names no instance).

Planted problems of both kinds are found, and what is allowed isn't.

--- a/stand/field/check.go
+++ b/stand/field/check.go
@@ -95,7 +95,9 @@
 	}
 	for _, ser := range fld.servers {
 		chk.limits(ser)
+		chk.pauses(ser, known)
 	}
+	chk.announced()
 	rep.Crossed, rep.Unanswered, rep.Dropped = chk.crossed, chk.unanswered, chk.dropped
 	sort.Strings(fld.problems)
 	rep.Problems = fld.problems
@@ -137,6 +139,56 @@
 	}
 }
 
+// pauses checks that a server got no more than it may from an instance whose requests
+// it had turned away for a time.
+func (chk *checker) pauses(ser *server, known map[string]*send) {
+	arrivals := ser.fake.Arrivals()
+	for idx, away := range arrivals {
+		snd := known[away.ID]
+		if away.Pause == 0 || snd == nil {
+			continue
+		}
+		from, until := away.At.Add(fakes.PauseSlack), away.At.Add(away.Pause)
+		num := 0
+		for _, oth := range arrivals[idx+1:] {
+			if got := known[oth.ID]; got != nil && got.instance == snd.instance && oth.At.After(from) && oth.At.Before(until) {
+				num++
+			}
+		}
+		if num > fakes.PauseMost && !chk.fld.excused(away.At, until, snd.instance) {
+			chk.fld.problem("BUDGET %s had asked %s for %s of rest and got %d requests in it", ser.fake.ID, snd.instance.boot.Name, away.Pause, num)
+		}
+	}
+}
+
+// announced checks that an instance which has passed an answer on that says its server
+// leaves sends that server nothing of callers that come later.
+func (chk *checker) announced() {
+	type relay struct {
+		server string
+		by     *instance
+	}
+	first := map[relay]time.Time{}
+	for _, snd := range chk.fld.sends {
+		for _, run := range chk.work(snd) {
+			ser := chk.servers[run.Server]
+			said := ser != nil && !ser.announced.IsZero() && run.At.After(ser.announced) && snd.signer == run.Server
+			key := relay{run.Server, snd.instance}
+			if at, have := first[key]; said && (!have || snd.ended.Before(at)) {
+				first[key] = snd.ended
+			}
+		}
+	}
+	for _, snd := range chk.fld.sends {
+		for _, run := range chk.work(snd) {
+			at, have := first[relay{run.Server, snd.instance}]
+			if have && snd.begun.After(at.Add(drainBound+slack)) && !chk.fld.excused(at, run.At, snd.instance) {
+				chk.fld.problem("DRAIN %s ran at %s %s after %s had passed on that it leaves", snd.id, run.Server, run.At.Sub(at), snd.instance.boot.Name)
+			}
+		}
+	}
+}
+
 // work lists a request's runs, without those of its pieces.
 func (chk *checker) work(snd *send) []fakes.Run {
 	var out []fakes.Run
@@ -317,6 +369,17 @@
 	return false
 }
 
+// excused reports whether an instance may have lost what it knew in a time, also in
+// a planned stop.
+func (fld *Field) excused(from, to time.Time, ins *instance) bool {
+	for _, spa := range fld.spans {
+		if spa.instance == ins && spa.from.Before(to) && (spa.to.IsZero() || spa.to.After(from)) {
+			return true
+		}
+	}
+	return fld.disturbed(from, to, ins)
+}
+
 // troubled reports whether anything unplanned stood in a time.
 func (fld *Field) troubled(from, to time.Time) bool {
 	for _, spa := range fld.spans {
--- a/stand/field/fault.go
+++ b/stand/field/fault.go
@@ -41,6 +41,8 @@
 	{"server-crashed", false, (*breaker).crashServer},
 	{"server-reborn", false, (*breaker).rebearServer},
 	{"server-left", true, (*breaker).leaveServer},
+	{"server-announced", true, (*breaker).announceLeaving},
+	{"server-pauses", true, (*breaker).pauseServer},
 	{"server-odd", false, (*breaker).oddServer},
 	{"server-limits", true, (*breaker).limitServers},
 	{"server-replaced", false, (*breaker).replaceAddress},
--- a/stand/field/field.go
+++ b/stand/field/field.go
@@ -134,6 +134,8 @@
 	busy    bool
 	// left is when the store took its leaving or its removal.
 	left time.Time
+	// announced is when its answers began to say that it leaves.
+	announced time.Time
 }
 
 // pools are the services with the sort of their servers and how many a zone
--- a/stand/field/field_test.go
+++ b/stand/field/field_test.go
@@ -71,6 +71,32 @@
 	fld.spans = append(fld.spans, span{from: snd.begun, planned: true, instance: snd.instance})
 }
 
+// announce lets a server's answer say that it leaves, and sends it another request
+// some time after.
+func announce(fld *Field, sends map[string]*send, later time.Duration) {
+	one := sends["often"]
+	ser := fld.servers["other"]
+	ser.announced = one.begun.Add(-time.Minute)
+	for _, snd := range sends {
+		snd.begun, snd.ended = snd.begun.Add(-later), snd.begun.Add(-later)
+	}
+	two := *one
+	two.id, two.begun, two.ended = "often-2", one.begun.Add(later), one.begun.Add(later)
+	two.got = fakes.Body("often", two.id)
+	fld.sends = append(fld.sends, &two)
+	fld.jou.Note(fakes.Run{Server: "other", ID: two.id, Method: "POST", Target: "/often/x?n=" + two.id, Body: "b", Ended: two.ended})
+}
+
+// rest lets a server ask for a pause and get some requests after a time.
+func rest(fld *Field, after time.Duration, num int) {
+	ser := fld.servers["other"].fake
+	now := time.Now().Add(-10 * time.Second)
+	ser.NoteArrival(fakes.Arrival{ID: "often", At: now, Pause: 3 * time.Second})
+	for range num {
+		ser.NoteArrival(fakes.Arrival{ID: "often", At: now.Add(after)})
+	}
+}
+
 // Each promise broken by hand is found, and nothing is found in a sound run.
 func TestPlantedProblems(t *testing.T) {
 	run := func(id, server string) fakes.Run {
@@ -106,8 +132,17 @@
 			fld.jou.Note(run("often", "plain"))
 			fld.spans = append(fld.spans, span{from: time.Now().Add(-5 * time.Second)})
 		}},
-		"left long ago":                       {"DRAIN", func(fld *Field, _ map[string]*send) { fld.servers["plain"].left = time.Now().Add(-5 * time.Second) }},
-		"left just now":                       {"", func(fld *Field, _ map[string]*send) { fld.servers["plain"].left = time.Now().Add(-time.Second) }},
+		"left long ago":                {"DRAIN", func(fld *Field, _ map[string]*send) { fld.servers["plain"].left = time.Now().Add(-5 * time.Second) }},
+		"left just now":                {"", func(fld *Field, _ map[string]*send) { fld.servers["plain"].left = time.Now().Add(-time.Second) }},
+		"announced, and sent to later": {"DRAIN", func(fld *Field, sends map[string]*send) { announce(fld, sends, 5*time.Second) }},
+		"announced just now":           {"", func(fld *Field, sends map[string]*send) { announce(fld, sends, 2*time.Second) }},
+		"announced, then stopped": {"", func(fld *Field, sends map[string]*send) {
+			announce(fld, sends, 5*time.Second)
+			fld.spans = append(fld.spans, span{from: time.Now().Add(-2 * time.Second), planned: true, instance: sends["often"].instance})
+		}},
+		"sent to in a pause":                  {"BUDGET", func(fld *Field, sends map[string]*send) { rest(fld, time.Second, 3) }},
+		"sent to twice in a pause":            {"", func(fld *Field, sends map[string]*send) { rest(fld, time.Second, 2) }},
+		"on its way at a pause":               {"", func(fld *Field, sends map[string]*send) { rest(fld, fakes.PauseSlack/2, 3) }},
 		"broke off":                           {"LOST", func(_ *Field, sends map[string]*send) { sends["once"].err = errors.New("reset") }},
 		"held":                                {"CONFIG", func(_ *Field, sends map[string]*send) { sends["once"].ended = sends["once"].begun.Add(5 * time.Second) }},
 		"never ended":                         {"LOST", func(_ *Field, sends map[string]*send) { sends["once"].done = false }},
--- a/stand/field/servers.go
+++ b/stand/field/servers.go
@@ -98,6 +98,40 @@
 	})
 }
 
+// announceLeaving lets a server leave whose answers say so long before its entry does.
+func (brk *breaker) announceLeaving(ctx context.Context) error {
+	return brk.onServer("server-announced", true, func(ser *server) error {
+		if err := brk.fld.addServer(ser.service, ser.kind, ser.zone); err != nil {
+			return err
+		}
+		ser.fake.Leave("1")
+		brk.fld.mu.Lock()
+		ser.announced = time.Now()
+		brk.fld.mu.Unlock()
+		pause(ctx, drainBound+2*brk.length())
+		brk.fld.list(ser, "draining")
+		brk.fld.gone(ser)
+		pause(ctx, drainBound+timeout)
+		brk.fld.remove(ser)
+		pause(ctx, time.Second)
+		ser.fake.Close()
+		return nil
+	})
+}
+
+// pauseTimes are what servers name that turn requests away, in seconds.
+var pauseTimes = []string{"1", "2.5", "6", "soon"}
+
+// pauseServer lets a server turn requests away for a while, naming a time.
+func (brk *breaker) pauseServer(ctx context.Context) error {
+	return brk.onServer("server-pauses", true, func(ser *server) error {
+		ser.fake.Pause(pauseTimes[brk.rng.IntN(len(pauseTimes))])
+		pause(ctx, brk.length())
+		ser.fake.Pause("")
+		return nil
+	})
+}
+
 // odd ways to answer.
 var odd = []string{"shed", "error", "busy", "cut", "garble", "foreign", "short", "hang", "slow", "break"}
 
