--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -18,7 +18,6 @@
 
 	"lovagestream/core/call"
 	"lovagestream/core/marks"
-	"lovagestream/core/pause"
 	"lovagestream/core/sched"
 	"lovagestream/core/stock"
 	"lovagestream/core/table"
@@ -415,34 +414,6 @@
 	vis.answered = true
 }
 
-const (
-	// reasonTaken and reasonPaused are of sends that this instance didn't make: it had
-	// no connection to spare, or the server wants nothing from it.
-	reasonTaken  = "connections-taken"
-	reasonPaused = "server-paused"
-)
-
-// unsent sorts out sends of which no byte left; false for all others.
-func unsent(err error) (outcome, bool) {
-	var snt *conns.SentError
-	if !errors.As(err, &snt) || snt.Sent {
-		return outcome{}, false
-	}
-	out := outcome{again: true, reason: "not-reached", err: err}
-	var tak *conns.TakenError
-	var pau *pause.Error
-	switch {
-	case errors.As(err, &tak):
-		out.reason = reasonTaken
-	case errors.As(err, &pau):
-		out.reason, out.after = reasonPaused, pau.Left
-	}
-	return out, true
-}
-
-// spared reports an outcome that says nothing of the server.
-func (out *outcome) spared() bool { return out.reason == reasonTaken || out.reason == reasonPaused }
-
 // endKind keeps lines of failures and of successes apart, so that neither
 // crowds the other out.
 func endKind(status int) string {
--- a/io/entry/generate.go
+++ b/io/entry/generate.go
@@ -166,17 +166,6 @@
 	return sending{out, how}
 }
 
-// unsentOutcome says what a send that was not made means for its engine.
-func unsentOutcome(out outcome) place.Outcome {
-	switch out.reason {
-	case reasonTaken:
-		return place.Full
-	case reasonPaused:
-		return place.Done
-	}
-	return place.Failed
-}
-
 // blame says what a refused or odd answer means for its engine.
 func (vis *visit) blame(rep *conns.Reply) place.Outcome {
 	switch {
