Soak: zones that are evacuated

A zone at a time is taken out and back while other faults come; nothing may begin at its servers from three seconds on, pieces included, where nothing unplanned stood. Planted problems of the kind are found. Cold servers and a store that comes back from a copy are still not drawn: the latter needs what was written since to be written again.

--- a/stand/field/check.go
+++ b/stand/field/check.go
@@ -98,6 +98,7 @@
 		chk.pauses(ser, known)
 	}
 	chk.announced()
+	chk.evacuated()
 	rep.Crossed, rep.Unanswered, rep.Dropped = chk.crossed, chk.unanswered, chk.dropped
 	sort.Strings(fld.problems)
 	rep.Problems = fld.problems
--- a/stand/field/fault.go
+++ b/stand/field/fault.go
@@ -49,6 +49,7 @@
 	{"server-link", false, (*breaker).harmServer},
 	{"peer-link", false, (*breaker).harmPeer},
 	{"zone-cut", false, (*breaker).cutZone},
+	{"zone-evacuated", true, (*breaker).evacuateZone},
 	{"store-down", false, (*breaker).downStore},
 	{"store-link", false, (*breaker).harmStore},
 	{"store-compacted", true, (*breaker).compactStore},
--- a/stand/field/field.go
+++ b/stand/field/field.go
@@ -98,8 +98,10 @@
 	sends     []*send
 	spans     []span
 	changes   []change
-	problems  []string
-	faults    map[string]int
+	// evacuations are in the order of their beginnings; the last one may last.
+	evacuations []evacuation
+	problems    []string
+	faults      map[string]int
 	// stops counts planned stops that ended.
 	stops int
 }
--- a/stand/field/field_test.go
+++ b/stand/field/field_test.go
@@ -140,6 +140,15 @@
 			announce(fld, sends, 5*time.Second)
 			fld.spans = append(fld.spans, span{from: time.Now().Add(-2 * time.Second), planned: true, instance: sends["often"].instance})
 		}},
+		"zone out long ago": {"EVAC", func(fld *Field, _ map[string]*send) {
+			fld.evacuations = []evacuation{{from: time.Now().Add(-5 * time.Second)}}
+		}},
+		"zone out just now": {"", func(fld *Field, _ map[string]*send) {
+			fld.evacuations = []evacuation{{from: time.Now().Add(-time.Second)}}
+		}},
+		"zone back before": {"", func(fld *Field, _ map[string]*send) {
+			fld.evacuations = []evacuation{{from: time.Now().Add(-9 * time.Second), to: time.Now().Add(-time.Second)}}
+		}},
 		"sent to in a pause":                  {"BUDGET", func(fld *Field, sends map[string]*send) { rest(fld, time.Second, 3) }},
 		"sent to twice in a pause":            {"", func(fld *Field, sends map[string]*send) { rest(fld, time.Second, 2) }},
 		"on its way at a pause":               {"", func(fld *Field, sends map[string]*send) { rest(fld, fakes.PauseSlack/2, 3) }},
