--- a/stand/field/field_test.go
+++ b/stand/field/field_test.go
@@ -149,9 +149,9 @@
 		"zone back before": {"", func(fld *Field, _ map[string]*send) {
 			fld.evacuations = []evacuation{{from: time.Now().Add(-9 * time.Second), to: time.Now().Add(-time.Second)}}
 		}},
-		"sent to in a pause":                  {"BUDGET", func(fld *Field, sends map[string]*send) { rest(fld, time.Second, 3) }},
-		"sent to twice in a pause":            {"", func(fld *Field, sends map[string]*send) { rest(fld, time.Second, 2) }},
-		"on its way at a pause":               {"", func(fld *Field, sends map[string]*send) { rest(fld, fakes.PauseSlack/2, 3) }},
+		"sent to in a pause":                  {"BUDGET", func(fld *Field, _ map[string]*send) { rest(fld, time.Second, 3) }},
+		"sent to twice in a pause":            {"", func(fld *Field, _ map[string]*send) { rest(fld, time.Second, 2) }},
+		"on its way at a pause":               {"", func(fld *Field, _ map[string]*send) { rest(fld, fakes.PauseSlack/2, 3) }},
 		"broke off":                           {"LOST", func(_ *Field, sends map[string]*send) { sends["once"].err = errors.New("reset") }},
 		"held":                                {"CONFIG", func(_ *Field, sends map[string]*send) { sends["once"].ended = sends["once"].begun.Add(5 * time.Second) }},
 		"never ended":                         {"LOST", func(_ *Field, sends map[string]*send) { sends["once"].done = false }},
