Streams left at one slow server are cut when the others have ended

Known red, traced: TestSlowStreamsGoOnElsewhere ended with deadline-passed after 20 s beside much load.

Cause: a stream is held against the others of its pool in the same interval. In the failing run the six streams at the two fast engines were over within the first interval of half a second; the four left were all at the slow one, made three tokens each beside a median of three, and went on there, 150 tokens at 7 a second. In the calm the watch compares before the fast ones end. Class: a comparison whose other side may be empty, or be the same server.

Change: where peers show no outlier, the pace of the pool's ended streams at a full batch stands in for them, with the same bounds (two beats, sooner elsewhere, not in time here) and only while the pool has room, so that overload cuts nothing.

--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -44,6 +44,9 @@
 	// full says that new calls would have to wait at the pool's servers.
 	full  bool
 	peers *Peers
+	// usual is the time for a token on the pool's servers with a full batch, from
+	// streams that ended; 0 where none has.
+	usual time.Duration
 }
 
 // NewAsk returns the ask of a call at a beat: how long it has run, the time to
@@ -76,6 +79,13 @@
 	return ask
 }
 
+// WithUsual sets the time for a token that ended streams of the pool showed, at a full
+// batch.
+func (ask Ask) WithUsual(usual time.Duration) Ask {
+	ask.usual = usual
+	return ask
+}
+
 // Verdict is the answer to an ask.
 type Verdict struct {
 	act Action
--- a/core/pace/pace_test.go
+++ b/core/pace/pace_test.go
@@ -22,6 +22,20 @@
 	return prs
 }
 
+// The fast servers' streams have ended, and those of the slow server have only each
+// other to compare with: they must not go on there until their deadline.
+func TestStreamsLeftAtOneSlowServerAreCut(t *testing.T) {
+	left := NewAsk(time.Second, time.Second, interval, peersOf(1, 1, 1, 1)).WithTokens(8, 1, most).WithSlow(1)
+	require.Equal(t, Keep, Progress{}.Decide(left).Action(), "nothing is known of others")
+	usual := interval / 6
+	require.Equal(t, Cut, Progress{}.Decide(left.WithUsual(usual)).Action())
+	require.Equal(t, Keep, Progress{}.Decide(left.WithUsual(usual).WithFull(true)).Action(), "a full pool has no better place")
+	require.Equal(t, Keep, Progress{}.Decide(left.WithUsual(usual).WithSlow(0)).Action(), "one slow beat")
+	require.Equal(t, Keep, Progress{}.Decide(left.WithUsual(interval)).Action(), "as slow as usual")
+	alone := NewAsk(time.Second, time.Second, interval, peersOf(1)).WithTokens(8, 1, most).WithSlow(1)
+	require.Equal(t, Cut, Progress{}.Decide(alone.WithUsual(usual)).Action(), "the last stream")
+}
+
 func TestVerdicts(t *testing.T) {
 	tests := []struct {
 		name      string
--- a/core/pace/progress.go
+++ b/core/pace/progress.go
@@ -19,7 +19,9 @@
 // and a stream that makes much less progress than its peers in the same
 // interval, where the rest of its answer is due sooner on another server. A
 // slow server shows within a few tokens, at whatever age of the stream; a pool
-// that is slow as a whole shows no outlier, so that overload cuts nothing.
+// that is slow as a whole shows no outlier, so that overload cuts nothing. Once
+// the others have ended, what they showed stands in for them, while the pool has
+// room.
 type Progress struct{}
 
 var _ Policy = Progress{}
@@ -32,15 +34,34 @@
 	if ask.tokens == 0 {
 		return ask.unbegun()
 	}
-	if ask.peers.Len() < leastPeers {
-		return Verdict{}
+	if median := ask.peers.Median(); ask.peers.Len() >= leastPeers && ask.behind(median) {
+		return ask.against(median)
 	}
-	median := ask.peers.Median()
-	if float64(ask.increment) >= slowShare*median {
-		return Verdict{}
+	// The streams that are left may all be at one slow server, and show no outlier
+	// among themselves.
+	if expected := ask.expected(); !ask.full && ask.behind(expected) {
+		return ask.against(expected)
 	}
+	return Verdict{}
+}
+
+// behind reports whether a stream makes much less than others would in the interval.
+func (ask Ask) behind(others float64) bool { return float64(ask.increment) < slowShare*others }
+
+// expected is how many tokens a stream of usual pace makes in the interval; 0 where
+// none is known.
+func (ask Ask) expected() float64 {
+	if ask.usual <= 0 {
+		return 0
+	}
+	return ask.interval.Seconds() / ask.usual.Seconds()
+}
+
+// against cuts a stream that was behind for some beats on end and whose rest is due
+// sooner at another pace.
+func (ask Ask) against(others float64) Verdict {
 	slow := ask.slow + 1
-	if slow < slowBeats || !ask.soonerElsewhere(median) {
+	if slow < slowBeats || !ask.soonerElsewhere(others) {
 		return Verdict{slow: slow}
 	}
 	return Verdict{act: Cut, slow: slow}
--- a/core/route/poolload.go
+++ b/core/route/poolload.go
@@ -46,5 +46,11 @@
 // PerUnit returns the seconds for a unit of work on an idle server, or 0.
 func (poo PoolLoad) PerUnit() float64 { return poo.perUnit }
 
+// PerToken returns the time for a token on a server with a full batch, as streams that
+// ended showed it; 0 where none has.
+func (poo PoolLoad) PerToken() time.Duration {
+	return time.Duration(poo.perUnit * fullStretch * float64(time.Second))
+}
+
 // Entries returns how many entry instances share the servers.
 func (poo PoolLoad) Entries() int { return poo.entries }
--- a/io/runner/watch.go
+++ b/io/runner/watch.go
@@ -27,10 +27,12 @@
 	lanes map[string]map[*lane]bool
 	// since is when the present interval of a pool's streams began.
 	since map[string]time.Time
+	// usual is the time for a token of each pool, from streams that ended.
+	usual map[string]time.Duration
 }
 
 func newWatcher(rnr *Runner) *watcher {
-	return &watcher{rnr: rnr, lanes: map[string]map[*lane]bool{}, since: map[string]time.Time{}}
+	return &watcher{rnr: rnr, lanes: map[string]map[*lane]bool{}, since: map[string]time.Time{}, usual: map[string]time.Duration{}}
 }
 
 func (wat *watcher) enter(lan *lane) {
@@ -69,15 +71,21 @@
 	}
 }
 
-// see sums the load of each pool up, for admission.
+// see sums the load of each pool up, for admission and for the pace of its streams.
 func (wat *watcher) see(now time.Time) {
 	vie := wat.rnr.vws.View()
 	if vie.Config() == nil {
 		return
 	}
+	usual := map[string]time.Duration{}
 	for _, poo := range vie.Config().Pools() {
-		wat.rnr.boo.Seen(now, poo.Name(), route.LoadOf(vie.Servers(poo.Name()), now, vie.Entries()))
+		load := route.LoadOf(vie.Servers(poo.Name()), now, vie.Entries())
+		wat.rnr.boo.Seen(now, poo.Name(), load)
+		usual[poo.Name()] = load.PerToken()
 	}
+	wat.mu.Lock()
+	wat.usual = usual
+	wat.mu.Unlock()
 	wat.rnr.keep(vie.Config())
 }
 
@@ -130,6 +138,7 @@
 		WithTokens(int(num), int(num-lan.mark), att.stg.MaxTokens()-lan.resume).
 		WithHigh(high).
 		WithFull(wat.rnr.boo.Full(now, att.stg.Pool())).
+		WithUsual(wat.usual[att.stg.Pool()]).
 		WithSlow(lan.slow)
 	ver := pol.Decide(ask)
 	lan.slow = ver.Slow()
