--- a/io/edge/calls.go
+++ b/io/edge/calls.go
@@ -92,12 +92,22 @@
 	})
 }
 
+// request is what goes to a server, unless it wants nothing once its connection stands.
+func (cal *caller) request(ent stock.Entry, method, target string, fields []call.Field, body []byte) conns.Send {
+	return conns.Send{
+		Address: ent.Address, Method: method, Target: target, Host: ent.Address, Fields: fields, Body: body,
+		Check: func() error { return cal.ctl.MaySend(ent.ID) },
+	}
+}
+
 func (cal *caller) exchange(ctx context.Context, ask sched.Call) ([]sched.Result, sched.CallStatus, error) {
 	method, target, fields, body, err := cal.dia.StageRun(ask)
 	if err != nil {
 		return nil, sched.NoReply, err
 	}
-	rep, err := cal.poo.Do(ctx, conns.Send{Address: ask.Server.Address, Method: method, Target: target, Host: ask.Server.Address, Fields: fields, Body: body, Most: cal.ctl.View().Connections(ask.Server.Service), Check: func() error { return cal.ctl.MaySend(ask.Server.ID) }}, "", cal.dia.Answer)
+	snd := cal.request(ask.Server, method, target, fields, body)
+	snd.Most = cal.ctl.View().Connections(ask.Server.Service)
+	rep, err := cal.poo.Do(ctx, snd, "", cal.dia.Answer)
 	var tak *conns.TakenError
 	var pau *pause.Error
 	if errors.As(err, &tak) || errors.As(err, &pau) {
@@ -141,7 +151,7 @@
 		defer cancel()
 		dog := cal.clk.Watch(freeTime, cancel)
 		defer dog.Stop()
-		rep, err := cal.poo.Do(ctx, conns.Send{Address: ent.Address, Method: method, Target: target, Host: ent.Address, Fields: fields, Body: body, Check: func() error { return cal.ctl.MaySend(ent.ID) }}, "", cal.dia.Answer)
+		rep, err := cal.poo.Do(ctx, cal.request(ent, method, target, fields, body), "", cal.dia.Answer)
 		if err != nil {
 			cal.jou.Note("free-failed", lines.Fields{"address": ent.Address, "count": len(handles), "error": err.Error()})
 			return nil
--- a/io/edge/paused_test.go
+++ b/io/edge/paused_test.go
@@ -14,7 +14,7 @@
 	"lovagestream/io/mesh"
 )
 
-// The next coordinator must not place requests where the one before was told not to.
+// The next coordinator must not place requests where the one before may not.
 func TestPausesTravelWithRequests(t *testing.T) {
 	ctl, lnk, _ := handed(t)
 	ctl.heardRetryAfter(stock.Entry{ID: "m1", Service: "m"}, call.Answer{Status: http.StatusServiceUnavailable, RetryAfter: 3 * time.Second})
