edge: connection attempts by result, and a line for each ejected engine

Callers saw: nothing new. The lines of the incident couldn't tell an instance without a path from a server that is gone, nor whether one instance's reports eject engines for all. Change: the metric connects counts attempts to open a connection by their result (connected, refused, reset, timed-out, canceled); engine-ejected names the engine, the instance whose request ended and how. No decision changes. Measured: tests of core/sched, core/place, io/conns and io/edge pass. Ruled out: a line for each failed connection, of which a cut writes thousands.

--- a/core/place/run.go
+++ b/core/place/run.go
@@ -189,3 +189,20 @@
 	}
 	return false
 }
+
+// String returns the outcome as it is named in logs.
+func (out Outcome) String() string {
+	switch out {
+	case Done:
+		return "done"
+	case Failed:
+		return "failed"
+	case Full:
+		return "full"
+	case WrongServer:
+		return "wrong-server"
+	case Slow:
+		return "slow"
+	}
+	return "unknown"
+}
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -287,13 +287,20 @@
 		return
 	}
 	if job.run != nil {
-		sch.engines[job.spec.Service].Ended(now, job.run, out)
-		job.run = nil
+		sch.endRun(now, job, out)
 	}
 	sch.endJob(now, job)
 	sch.dispatch(now)
 }
 
+// endRun ends the run of a job at its engine.
+func (sch *Scheduler) endRun(now time.Time, job *job, out place.Outcome) {
+	if sch.engines[job.spec.Service].Ended(now, job.run, out) {
+		sch.out.Ejected(job.run.Engine(), job.spec.Key.Owner, out)
+	}
+	job.run = nil
+}
+
 // Retry handles a run that ended without an answer, and looks for another
 // engine. Results that are still there are reused, so a refusal by an engine
 // costs no stage work. It returns false for an unknown job. A Slow run goes on
@@ -307,9 +314,8 @@
 	if job == nil || job.run == nil || len(job.stages) != len(job.spec.Stages) {
 		return false
 	}
-	sch.engines[job.spec.Service].Ended(now, job.run, out)
 	job.spec.Avoid = append(job.spec.Avoid, job.run.Engine())
-	job.run = nil
+	sch.endRun(now, job, out)
 	sch.retryBudget.Count(now, job.spec.Service, job.spec.Account, true)
 	if !sch.retryBudget.Allow(now, job.spec.Service, job.spec.Account) {
 		sch.retryBudget.Deny(now, job.spec.Service, job.spec.Account)
--- a/core/sched/scheduler_test.go
+++ b/core/sched/scheduler_test.go
@@ -29,6 +29,8 @@
 func (out *effects) FreeResults(adr string, handles []string) {
 	out.freed[adr] = append(out.freed[adr], handles...)
 }
+func (out *effects) Ejected(string, string, place.Outcome) {}
+
 func (out *effects) ReportResults(hld HeldResults) { out.reports = append(out.reports, hld) }
 func (out *effects) Notify(dec Decision)           { out.decisions[dec.Key.ID] = dec }
 
--- a/core/sched/types.go
+++ b/core/sched/types.go
@@ -6,6 +6,7 @@
 	"lovagestream/core/call"
 	"lovagestream/core/fair"
 	"lovagestream/core/pause"
+	"lovagestream/core/place"
 	"lovagestream/core/stock"
 	"lovagestream/core/table"
 )
@@ -159,6 +160,9 @@
 	FreeResults(address string, handles []string)
 	// Notify sends a decision to the job's entry instance.
 	Notify(Decision)
+	// Ejected reports that the end of a run, as its owner reported it, ejected an
+	// engine.
+	Ejected(engine, owner string, how place.Outcome)
 	// ReportResults reports held results to the job's entry instance.
 	ReportResults(HeldResults)
 }
--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -7,6 +7,7 @@
 import (
 	"bufio"
 	"context"
+	"maps"
 	"net"
 	"strconv"
 	"sync"
@@ -81,14 +82,15 @@
 	// open is the number of connections by address, including idle ones and
 	// those being opened.
 	open map[string]int
-	// opened counts connections opened.
-	opened int64
+	// opened counts connections opened, connects the attempts by their result.
+	opened   int64
+	connects map[string]int64
 }
 
 // NewPool returns a pool whose connections have the local address localAddr, or
 // any if it is nil.
 func NewPool(clk clock.Service, grp *group.Group, localAddr *net.TCPAddr) *Pool {
-	poo := &Pool{clk: clk, grp: grp, idle: map[string][]*conn{}, open: map[string]int{}}
+	poo := &Pool{clk: clk, grp: grp, idle: map[string][]*conn{}, open: map[string]int{}, connects: map[string]int64{}}
 	poo.dlr = Dialer(localAddr)
 	return poo
 }
@@ -196,15 +198,34 @@
 		return nil, err
 	}
 	raw, err := poo.dlr.DialContext(ctx, "tcp", req.Address)
+	poo.mu.Lock()
+	defer poo.mu.Unlock()
+	poo.connects[connectResult(ctx, err)]++
 	if err != nil {
-		poo.mu.Lock()
-		defer poo.mu.Unlock()
 		poo.release(req.Address)
 		return nil, err
 	}
 	return &conn{Conn: raw, address: req.Address, rdr: bufio.NewReaderSize(raw, readBufferSize)}, nil
 }
 
+// connectResult names the result of an attempt to open a connection.
+func connectResult(ctx context.Context, err error) string {
+	var tmo net.Error
+	switch {
+	case err == nil:
+		return "connected"
+	case ctx.Err() != nil:
+		return "canceled"
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return "refused"
+	case errors.Is(err, syscall.ECONNRESET):
+		return "reset"
+	case errors.As(err, &tmo) && tmo.Timeout():
+		return "timed-out"
+	}
+	return "failed"
+}
+
 // reserve counts a connection that is about to be opened, or fails at the
 // limit.
 func (poo *Pool) reserve(req Request) error {
@@ -293,3 +314,10 @@
 	defer poo.mu.Unlock()
 	return poo.opened
 }
+
+// Connects returns the number of attempts to open a connection by their result.
+func (poo *Pool) Connects() map[string]int64 {
+	poo.mu.Lock()
+	defer poo.mu.Unlock()
+	return maps.Clone(poo.connects)
+}
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -435,6 +435,11 @@
 	ctl.frees[address] = append(ctl.frees[address], handles...)
 }
 
+// Ejected logs an engine's ejection and the instance whose request caused it.
+func (ctl *Control) Ejected(engine, owner string, how place.Outcome) {
+	ctl.log.Log("engine-ejected", lines.Fields{"server": engine, "reporter": owner, "outcome": how.String()})
+}
+
 // ReportResults reports held results to the entry instance of their request.
 func (ctl *Control) ReportResults(hld sched.HeldResults) {
 	if hld.Key.Owner == ctl.set.AdvertisedAddr {
--- a/stand/replay/simulation.go
+++ b/stand/replay/simulation.go
@@ -10,6 +10,7 @@
 
 	"lovagestream/core/call"
 	"lovagestream/core/member"
+	"lovagestream/core/place"
 	"lovagestream/core/sched"
 	"lovagestream/core/stock"
 	"lovagestream/core/table"
@@ -286,6 +287,9 @@
 	})
 }
 
+// Ejected does nothing: replays measure what callers see.
+func (ins *instance) Ejected(string, string, place.Outcome) {}
+
 // ReportResults reports held results to the request's entry instance.
 func (ins *instance) ReportResults(hld sched.HeldResults) {
 	sim := ins.sim
