--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -75,7 +75,8 @@
 type Pool struct {
 	clk clock.Service
 	grp *group.Group
-	dlr net.Dialer
+	// dial opens a connection; dialTimeout bounds it.
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -91,10 +92,17 @@
 // any if it is nil.
 func NewPool(clk clock.Service, grp *group.Group, localAddr *net.TCPAddr) *Pool {
 	poo := &Pool{clk: clk, grp: grp, idle: map[string][]*conn{}, open: map[string]int{}, connects: map[string]int64{}}
-	poo.dlr = Dialer(localAddr)
+	dlr := Dialer(localAddr)
+	poo.dial = dlr.DialContext
 	return poo
 }
 
+// DialWith replaces the function that opens connections. It must be called before
+// the pool is used.
+func (poo *Pool) DialWith(dial func(ctx context.Context, network, address string) (net.Conn, error)) {
+	poo.dial = dial
+}
+
 // Dialer returns the dialer for all connections of an entry instance.
 // Keep-alive probes and a timeout for unacknowledged bytes detect a network
 // partition that drops packets.
@@ -197,7 +205,7 @@
 	if err := poo.reserve(req); err != nil {
 		return nil, err
 	}
-	raw, err := poo.dlr.DialContext(ctx, "tcp", req.Address)
+	raw, err := poo.connect(ctx, req.Address, dialTimeout)
 	poo.mu.Lock()
 	defer poo.mu.Unlock()
 	poo.connects[connectResult(ctx, err)]++
@@ -208,9 +216,33 @@
 	return &conn{Conn: raw, address: req.Address, rdr: bufio.NewReaderSize(raw, readBufferSize)}, nil
 }
 
+// DialTimeoutError is the error of a connection that didn't open in time.
+type DialTimeoutError struct {
+	Address string
+	Timeout time.Duration
+}
+
+// Error names the address and the time.
+func (err *DialTimeoutError) Error() string {
+	return "dial " + err.Address + ": no connection within " + err.Timeout.String()
+}
+
+// connect opens a connection within a time.
+func (poo *Pool) connect(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+	dctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	dog := poo.clk.StartWatchdog(timeout, cancel)
+	defer dog.Stop()
+	con, err := poo.dial(dctx, "tcp", address)
+	if err != nil && dctx.Err() != nil && ctx.Err() == nil {
+		return nil, &DialTimeoutError{Address: address, Timeout: timeout}
+	}
+	return con, err
+}
+
 // connectResult names the result of an attempt to open a connection.
 func connectResult(ctx context.Context, err error) string {
-	var tmo net.Error
+	var tmo *DialTimeoutError
 	switch {
 	case err == nil:
 		return "connected"
@@ -220,7 +252,7 @@
 		return "refused"
 	case errors.Is(err, syscall.ECONNRESET):
 		return "reset"
-	case errors.As(err, &tmo) && tmo.Timeout():
+	case errors.As(err, &tmo):
 		return "timed-out"
 	}
 	return "failed"
--- a/io/edge/node.go
+++ b/io/edge/node.go
@@ -42,8 +42,10 @@
 	NewSource func(dial func(context.Context, string, string) (net.Conn, error)) follow.Source
 	// Reload reads the settings file again.
 	Reload func() (Settings, error)
-	Log    *lines.Writer
-	Clock  clock.Service
+	// DialServer opens connections to backend servers; nil dials TCP.
+	DialServer func(ctx context.Context, network, address string) (net.Conn, error)
+	Log        *lines.Writer
+	Clock      clock.Service
 	// Tracer is nil if tracing is off.
 	Tracer *trace.Tracer
 }
@@ -127,6 +129,9 @@
 	}
 	dlr := conns.Dialer(own)
 	nod.poo = conns.NewPool(dep.Clock, nod.grp, own)
+	if dep.DialServer != nil {
+		nod.poo.DialWith(dep.DialServer)
+	}
 	born := dep.Clock.Now().UnixMilli()
 	nod.ctl = NewControl(set, dep.Clock, dep.Dialect, dep.Log, born)
 	nod.transport = mesh.New(nod.ctl.mem.Self(), nod.ctl, dep.Clock, dlr.DialContext, nod.grp)
