Sends that reach no server spend no retry

Cause: each try after the first counted against the retry budget, whether or not the one before had left the instance. The budget is there for servers' load, which they weren't. Change: a try after sends of which no byte left is no retry, on the plain path, and at the scheduler, which the entry instance tells (Spec.Unsent); the four sends of a request still bound it. Evidence: TestUnsentRequestsSpendNoRetries, red before on both paths (503 where a second server serves; the coordinator not told), and TestUnsentRunsSpendNoRetries. Ruled out: a larger budget, which servers would get as load when they fail.

--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -190,7 +190,9 @@
 		}
 		sch.endJob(now, old)
 	}
-	sch.retryBudget.Count(now, spc.Service, spc.Account, spc.Retry)
+	if !spc.Retry || !spc.Unsent {
+		sch.retryBudget.Count(now, spc.Service, spc.Account, spc.Retry)
+	}
 	job, reason := sch.build(now, spc)
 	if job == nil {
 		sch.out.Notify(Decision{Key: spc.Key, Outcome: Refused, Reason: reason, RetryAfter: unknownServiceWait})
@@ -306,6 +308,16 @@
 // costs no stage work. It returns false for an unknown job. A Slow run goes on
 // unless its job moves; see move.
 func (sch *Scheduler) Retry(now time.Time, key Key, out place.Outcome, inputsGone bool) bool {
+	return sch.retry(now, key, out, inputsGone, false)
+}
+
+// RetryUnsent is Retry for a run that didn't reach its engine, which spends nothing of
+// the retry budget.
+func (sch *Scheduler) RetryUnsent(now time.Time, key Key, out place.Outcome) bool {
+	return sch.retry(now, key, out, false, true)
+}
+
+func (sch *Scheduler) retry(now time.Time, key Key, out place.Outcome, inputsGone, unsent bool) bool {
 	if out == place.Slow {
 		sch.move(now, key)
 		return true
@@ -316,9 +328,7 @@
 	}
 	job.spec.Avoid = append(job.spec.Avoid, job.run.Engine())
 	sch.endRun(now, job, out)
-	sch.retryBudget.Count(now, job.spec.Service, job.spec.Account, true)
-	if !sch.retryBudget.Allow(now, job.spec.Service, job.spec.Account) {
-		sch.retryBudget.Deny(now, job.spec.Service, job.spec.Account)
+	if !unsent && !sch.spendRetry(now, &job.spec) {
 		sch.endJob(now, job)
 		sch.out.Notify(Decision{Key: key, Outcome: Refused, Reason: "no-repeats-left", RetryAfter: minRetryAfter})
 		return true
@@ -336,6 +346,16 @@
 	return true
 }
 
+// spendRetry spends a retry of a request, and reports whether the budget allows it.
+func (sch *Scheduler) spendRetry(now time.Time, spc *Spec) bool {
+	sch.retryBudget.Count(now, spc.Service, spc.Account, true)
+	if sch.retryBudget.Allow(now, spc.Service, spc.Account) {
+		return true
+	}
+	sch.retryBudget.Deny(now, spc.Service, spc.Account)
+	return false
+}
+
 // Adopt adds a job that another instance placed at an engine before this one
 // took over.
 func (sch *Scheduler) Adopt(now time.Time, spc Spec, engine string) {
--- a/core/sched/scheduler_test.go
+++ b/core/sched/scheduler_test.go
@@ -119,6 +119,27 @@
 	require.False(t, sch.Retry(start, Key{"me", "other"}, place.Full, false))
 }
 
+// Runs that reach no engine must leave the retry budget to those that do.
+func TestUnsentRunsSpendNoRetries(t *testing.T) {
+	sch, out := newScheduler(testServers...)
+	sch.retryBudget = NewRetryBudget(0, 0, 10*time.Second)
+	sch.Submit(start, spec("r1", 1, 1))
+	answer(sch, start, out.takeCalls()[0])
+	answer(sch, start, out.takeCalls()[0])
+	first := out.decisions["r1"].Server.ID
+	require.True(t, sch.RetryUnsent(start, Key{"me", "r1"}, place.Failed))
+	require.Equal(t, Placed, out.decisions["r1"].Outcome)
+	require.NotEqual(t, first, out.decisions["r1"].Server.ID)
+	unsent := spec("r2", 0, 0)
+	unsent.Retry, unsent.Unsent = true, true
+	sch.Submit(start, unsent)
+	require.Equal(t, Placed, out.decisions["r2"].Outcome)
+	sent := spec("r3", 0, 0)
+	sent.Retry = true
+	sch.Submit(start, sent)
+	require.Equal(t, Refused, out.decisions["r3"].Outcome)
+}
+
 // A server crashes with results and an in-flight call; results that are still
 // needed must be recomputed.
 func TestLostResultsAreRecomputed(t *testing.T) {
--- a/core/sched/types.go
+++ b/core/sched/types.go
@@ -56,6 +56,9 @@
 	// retry, which counts against the retry budget and was admitted before.
 	Avoid []string
 	Retry bool
+	// Unsent marks a retry of which no send has reached a server since it was placed.
+	// It doesn't count against the retry budget.
+	Unsent bool
 	// Paused are the servers that have paused requests of the entry instance.
 	Paused []pause.Server
 }
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -83,6 +83,8 @@
 	stays    bool
 	// refusal, if set, is the decision when no engine is left.
 	refusal sched.Decision
+	// unsent is whether the last retry was of a request that reached no server.
+	unsent bool
 }
 
 func (ctl *testControl) View() *entry.View { return ctl.viw.Load() }
@@ -110,6 +112,7 @@
 		out <- sched.Decision{Key: spc.Key, Outcome: sched.Refused, Reason: "stays"}
 		return out
 	}
+	ctl.unsent = spc.Unsent
 	ctl.Ended(spc.Key.ID, how)
 	return ctl.Submit(spc)
 }
@@ -247,6 +250,29 @@
 	require.EqualValues(t, 1, runs.Load())
 }
 
+// Sends that reach no server must not use up the retries that a request needs to reach one
+// that serves.
+func TestUnsentRequestsSpendNoRetries(t *testing.T) {
+	for name, svc := range map[string]*table.Service{"plain": plainService, "model": modelService} {
+		t.Run(name, func(t *testing.T) {
+			var runs atomic.Int64
+			gone, other := newServer(t, &runs, nil), newServer(t, &runs, signedResponse)
+			lis, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			gone.Address = lis.Addr().String()
+			require.NoError(t, lis.Close())
+			other.Zone = "other"
+			fix := newFixture(t, &table.Route{Kind: call.AtMostOnce}, svc, gone, other)
+			fix.updateView(func(viw *entry.View) { viw.Retries = entry.RetryLimits{Window: 10 * time.Second} })
+			require.Equal(t, http.StatusOK, fix.send(t, "/p/x").status)
+			require.EqualValues(t, 1, runs.Load())
+			if svc == modelService {
+				require.True(t, fix.ctl.unsent, "the coordinator must be told")
+			}
+		})
+	}
+}
+
 // Requests are forwarded and responses relayed unchanged.
 func TestForwardedUnchanged(t *testing.T) {
 	var runs atomic.Int64
--- a/io/entry/generate.go
+++ b/io/entry/generate.go
@@ -41,7 +41,7 @@
 		mov := arq.watchSend(ctx, stm, spc, dec)
 		last = arq.sendToEngine(mov.ctx, stm, mov, dec)
 		if next := mov.end(); next != nil {
-			spc.Avoid, spc.Retry = append(spc.Avoid, dec.Server.ID), true
+			spc.Avoid, spc.Retry, spc.Unsent = append(spc.Avoid, dec.Server.ID), true, false
 			decision = next
 			continue
 		}
@@ -53,7 +53,7 @@
 			break
 		}
 		spc.Avoid = append(spc.Avoid, dec.Server.ID)
-		spc.Retry = true
+		spc.Retry, spc.Unsent = true, last.unsent
 		decision = arq.srv.ctl.Retry(spc, last.engineOutcome, last.reason == reasonInputGone)
 	}
 	if ctx.Err() != nil {
--- a/io/entry/notsent.go
+++ b/io/entry/notsent.go
@@ -23,7 +23,7 @@
 	if !errors.As(err, &sen) || sen.Sent {
 		return outcome{}, false
 	}
-	out := outcome{retryable: true, reason: "not-reached", err: err}
+	out := outcome{retryable: true, unsent: true, reason: "not-reached", err: err}
 	var lim *conns.ConnLimitError
 	var pau *pause.Error
 	switch {
--- a/io/entry/plain.go
+++ b/io/entry/plain.go
@@ -71,6 +71,8 @@
 type outcome struct {
 	// retryable is set if another server may be tried.
 	retryable bool
+	// unsent is set if no byte of the request was sent.
+	unsent bool
 	// mayHaveRun is set if the server may have run the request.
 	mayHaveRun bool
 	reason     string
@@ -115,13 +117,15 @@
 	avoid := map[string]bool{}
 	pln.allow(arq.arrived, arq.viw, arq.service, arq.account(), false)
 	last.reason = "no-server"
+	// reached is set once a server got the request.
+	reached := false
 	for num := range maxSends {
 		now := arq.srv.clk.Now()
 		if arq.deadline.Sub(now) < minRemaining {
 			last.reason = "no-time-left"
 			break
 		}
-		if num > 0 && !pln.allow(now, arq.viw, arq.service, arq.account(), true) {
+		if reached && !pln.allow(now, arq.viw, arq.service, arq.account(), true) {
 			last.reason += ",no-repeats-left"
 			break
 		}
@@ -129,7 +133,7 @@
 		ent, ok := stock.Entry{}, false
 		if limited {
 			var refused outcome
-			ent, refused, ok = arq.requestPlacement(ctx, avoid, num > 0)
+			ent, refused, ok = arq.requestPlacement(ctx, avoid, num > 0, reached)
 			if !ok && num == 0 {
 				last = refused
 			}
@@ -145,6 +149,7 @@
 		}
 		avoid[ent.ID] = true
 		last = arq.tryServer(ctx, ent)
+		reached = reached || !last.unsent
 		took = arq.srv.clk.Now().Sub(now)
 		if last.reason == reasonServerRefused {
 			arq.serversRefused()
--- a/io/mesh/message.go
+++ b/io/mesh/message.go
@@ -281,7 +281,7 @@
 func fromSpec(now time.Time, spc *sched.Spec) *wire.Submit {
 	out := &wire.Submit{
 		Id: spc.Key.ID, Service: spc.Service, PieceKey: spc.PieceKey, Prompt: int32(spc.PromptTokens), Output: int32(spc.MaxOutputTokens),
-		Priority: int32(spc.Priority), Urgency: int32(spc.Urgency), Print: spc.Fingerprint, Account: spc.Account, Avoid: spc.Avoid, Again: spc.Retry, Zone: spc.Zone, Attempt: spc.Attempt,
+		Priority: int32(spc.Priority), Urgency: int32(spc.Urgency), Print: spc.Fingerprint, Account: spc.Account, Avoid: spc.Avoid, Again: spc.Retry, Unsent: spc.Unsent, Zone: spc.Zone, Attempt: spc.Attempt,
 		Arrived: spc.Arrived.Sub(now).Microseconds(), Aim: spc.Target.Sub(now).Microseconds(),
 		Give: spc.GiveUp.Sub(now).Microseconds(), End: spc.Deadline.Sub(now).Microseconds(),
 	}
@@ -324,7 +324,7 @@
 		Key: sched.Key{Owner: owner, ID: sub.GetId()}, Zone: sub.GetZone(), Service: sub.GetService(), PieceKey: sub.GetPieceKey(),
 		PromptTokens: int(sub.GetPrompt()), MaxOutputTokens: int(sub.GetOutput()), Priority: int(sub.GetPriority()), Urgency: int(sub.GetUrgency()), Fingerprint: sub.GetPrint(), Account: sub.GetAccount(),
 		Arrived: at(sub.GetArrived()), Target: at(sub.GetAim()), GiveUp: at(sub.GetGive()), Deadline: at(sub.GetEnd()),
-		Avoid: sub.GetAvoid(), Retry: sub.GetAgain(), Attempt: sub.GetAttempt(), Pieces: fromInt32(sub.GetPieces()),
+		Avoid: sub.GetAvoid(), Retry: sub.GetAgain(), Unsent: sub.GetUnsent(), Attempt: sub.GetAttempt(), Pieces: fromInt32(sub.GetPieces()),
 	}
 	for _, stg := range sub.GetStages() {
 		spc.Stages = append(spc.Stages, table.Stage{Service: stg.GetService(), DependsOn: fromInt32(stg.GetAfter()), ResultSize: stg.GetSize()})
