A lost path is no failure of the servers behind it

Cause: a send that fails for want of a path was reported like a server's failure, to the plain pool, to the coordinator's engines, and by its own stage calls. Change: such sends end as not attempted; calls to stage servers end with NoPath, which backs off without blame and without a try of their pieces. Requests are given up on a lost path only where nothing was heard since they began. Ruled out: ignoring failures of sends altogether, as a dark server has to be ejected.

--- a/core/sched/callstatus.go
+++ b/core/sched/callstatus.go
@@ -17,6 +17,9 @@
 	// NoReply means that the call was cut off, timed out or got an unusable
 	// answer.
 	NoReply
+	// NoPath means that this instance has no path to the server, which says nothing
+	// about it.
+	NoPath
 )
 
 // String returns the status as it is named in metrics.
@@ -28,6 +31,8 @@
 		return "full"
 	case WrongServer:
 		return "wrong-server"
+	case NoPath:
+		return "no-path"
 	}
 	return "unanswered"
 }
@@ -42,6 +47,9 @@
 	// full: about half the length of a call, since calls of another instance
 	// occupy it.
 	fullBackoff = 80 * time.Millisecond
+	// noPathBackoff is how long a server gets no calls while there is no path to it:
+	// about the time in which trial connections tell that it is back.
+	noPathBackoff = 200 * time.Millisecond
 	// sizeFactorStep multiplies a server's size factor when it had no memory
 	// for a piece, sizeFactorDecay when a call ended, and maxSizeFactor bounds
 	// it. Configured result sizes are approximate.
@@ -80,6 +88,13 @@
 	case WrongServer:
 		ser.rec.Eject(now)
 		sch.requeue(now, act)
+	case NoPath:
+		ser.fullUntil = now.Add(noPathBackoff)
+		ser.rec.Abandoned()
+		for _, pie := range act.pieces {
+			pie.tries--
+		}
+		sch.requeue(now, act)
 	case NoReply:
 		ser.rec.Failed(now)
 		sch.requeue(now, act)
--- a/core/sched/scheduler_test.go
+++ b/core/sched/scheduler_test.go
@@ -140,6 +140,23 @@
 	require.Equal(t, Refused, out.decisions["r3"].Outcome)
 }
 
+// While the coordinator has no path to a stage server, its calls must neither eject the
+// server nor use up the tries of their pieces.
+func TestLostPathIsNoFailureOfStageServers(t *testing.T) {
+	sch, out := newScheduler(testServers...)
+	sch.Submit(start, spec("r1", 1, 0))
+	now := start
+	for range 3 * maxTries {
+		calls := out.takeCalls()
+		require.Len(t, calls, 1)
+		sch.CallEnded(now, calls[0].Number, nil, NoPath)
+		now = now.Add(noPathBackoff)
+		sch.Tick(now)
+	}
+	answer(sch, now, out.takeCalls()[0])
+	require.Equal(t, Placed, out.decisions["r1"].Outcome)
+}
+
 // A server crashes with results and an in-flight call; results that are still
 // needed must be recomputed.
 func TestLostResultsAreRecomputed(t *testing.T) {
--- a/core/sched/suspect.go
+++ b/core/sched/suspect.go
@@ -104,7 +104,7 @@
 		return
 	}
 	sus.probing = false
-	if status == NoReply {
+	if status == NoReply || status == NoPath {
 		sus.backoffUntil = now.Add(suspectBackoff)
 		sus.reachable = false
 		return
--- a/io/conns/path.go
+++ b/io/conns/path.go
@@ -179,7 +179,7 @@
 	if lost {
 		all := pas.state.AllLost(now)
 		for wat := range pas.waiting {
-			if all || wat.req.Service == ser.Service {
+			if (all || wat.req.Service == ser.Service) && now.Sub(wat.begun) > hungAfter && pas.state.Silent(wat.begun) {
 				given = append(given, wat)
 			}
 		}
@@ -284,14 +284,19 @@
 	return wat
 }
 
-// suspect tries the path if no server has sent anything since the request.
+// suspect tries the path if no server has sent anything since the request. If the path
+// is lost already, it gives the request up.
 func (wat *responseWatch) suspect() {
 	pas := wat.poo.paths
-	pas.mu.Lock()
 	now := wat.poo.clk.Now()
-	try := pas.state.Silent(wat.begun) && !pas.state.Lost(now, wat.req.Service) && pas.state.BeginTrial(now, wat.req.server())
+	pas.mu.Lock()
+	silent, lost := pas.state.Silent(wat.begun), pas.state.Lost(now, wat.req.Service)
+	try := silent && !lost && pas.state.BeginTrial(now, wat.req.server())
 	pas.mu.Unlock()
-	if try {
+	switch {
+	case silent && lost:
+		wat.abort(pas)
+	case try:
 		wat.poo.try(wat.req.server())
 	}
 }
--- a/io/edge/calls.go
+++ b/io/edge/calls.go
@@ -121,8 +121,12 @@
 	rep, err := cal.poo.Do(ctx, snd, "", cal.cdc.DecodeResponse)
 	var tak *conns.ConnLimitError
 	var pau *pause.Error
-	if errors.As(err, &tak) || errors.As(err, &pau) {
+	var noPath *conns.PathError
+	switch {
+	case errors.As(err, &tak) || errors.As(err, &pau):
 		return nil, sched.Full, err
+	case errors.As(err, &noPath):
+		return nil, sched.NoPath, err
 	}
 	if err != nil {
 		return nil, sched.NoReply, err
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -273,6 +273,24 @@
 	}
 }
 
+// An instance that has lost the path to all engines must not report them as failed: the
+// coordinator would eject them for the instances that reach them.
+func TestLostPathIsNoFailureOfEngines(t *testing.T) {
+	var runs atomic.Int64
+	var engines []stock.Entry
+	for range 4 {
+		lis, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		require.NoError(t, lis.Close())
+		ent := newServer(t, &runs, nil)
+		ent.Address = lis.Addr().String()
+		engines = append(engines, ent)
+	}
+	fix := newFixture(t, &table.Route{Kind: call.AtMostOnce}, modelService, engines...)
+	require.Equal(t, http.StatusServiceUnavailable, fix.send(t, "/p/x").status)
+	require.Equal(t, []place.Outcome{place.Failed, place.Failed, place.Done, place.Done}, fix.ctl.ended[:4])
+}
+
 // Requests are forwarded and responses relayed unchanged.
 func TestForwardedUnchanged(t *testing.T) {
 	var runs atomic.Int64
--- a/io/entry/generate.go
+++ b/io/entry/generate.go
@@ -156,12 +156,13 @@
 	ext.LastEventID = stm.lastEventID
 	rep, err := arq.sendTo(ctx, ent, ext)
 	if out, ok := notSent(err); ok {
-		return sendResult{out, notSentOutcome(out)}
+		return sendResult{out, unansweredOutcome(out)}
 	}
 	arq.attempts++
 	if err != nil {
 		arq.reportCrash(ctx, ent, err)
-		return sendResult{outcome{retryable: repeatable, mayHaveRun: true, reason: "no-answer", err: err}, place.Failed}
+		out := noResponse(err, repeatable)
+		return sendResult{out, unansweredOutcome(out)}
 	}
 	defer rep.Close()
 	if !mov.begin() {
--- a/io/entry/notsent.go
+++ b/io/entry/notsent.go
@@ -9,11 +9,15 @@
 )
 
 const (
-	// reasonConnLimit and reasonPaused are the reasons of requests that this
-	// instance didn't send: all its connections to the server were in use, or
-	// the server accepts no requests from it now.
+	// reasonConnLimit, reasonPaused and reasonNoPath are the reasons of requests that
+	// this instance didn't send: all its connections to the server were in use, the
+	// server accepts no requests from it now, or it has no path to the servers.
 	reasonConnLimit = "connections-taken"
 	reasonPaused    = "server-paused"
+	reasonNoPath    = "no-path"
+	// reasonPathLost is the reason of requests that were given up, since the path was
+	// lost while they waited for a response.
+	reasonPathLost = "path-lost"
 )
 
 // notSent returns the outcome of a request of which no byte was sent, and false
@@ -27,6 +31,8 @@
 	var lim *conns.ConnLimitError
 	var pau *pause.Error
 	switch {
+	case isPathLost(err):
+		out.reason = reasonNoPath
 	case errors.As(err, &lim):
 		out.reason = reasonConnLimit
 	case errors.As(err, &pau):
@@ -35,18 +41,38 @@
 	return out, true
 }
 
+// isPathLost reports whether a request failed because this instance has no path to the
+// servers.
+func isPathLost(err error) bool {
+	var pth *conns.PathError
+	return errors.As(err, &pth)
+}
+
+// noResponse returns the outcome of a request that was sent and got no response.
+func noResponse(err error, retryable bool) outcome {
+	out := outcome{retryable: retryable, mayHaveRun: true, reason: "no-answer", err: err}
+	if isPathLost(err) {
+		out.reason = reasonPathLost
+	}
+	return out
+}
+
 // notAttempted reports whether the outcome says nothing about the server.
 func (out *outcome) notAttempted() bool {
-	return out.reason == reasonConnLimit || out.reason == reasonPaused
+	switch out.reason {
+	case reasonConnLimit, reasonPaused, reasonNoPath, reasonPathLost:
+		return true
+	}
+	return false
 }
 
-// notSentOutcome returns the outcome that is reported to the engine's pool for a
-// request that was not sent.
-func notSentOutcome(out outcome) place.Outcome {
-	switch out.reason {
-	case reasonConnLimit:
+// unansweredOutcome returns the outcome that is reported to the engine's pool for a
+// request that was not sent or got no response.
+func unansweredOutcome(out outcome) place.Outcome {
+	switch {
+	case out.reason == reasonConnLimit:
 		return place.Full
-	case reasonPaused:
+	case out.notAttempted():
 		return place.Done
 	}
 	return place.Failed
--- a/io/entry/plain.go
+++ b/io/entry/plain.go
@@ -265,7 +265,7 @@
 	arq.attempts++
 	if err != nil {
 		arq.reportCrash(ctx, ent, err)
-		return outcome{retryable: repeatable, mayHaveRun: true, reason: "no-answer", err: err}
+		return noResponse(err, repeatable)
 	}
 	defer rep.Close()
 	if ans := rep.ResponseHead; ans.Slots > 0 && ans.Status != http.StatusMisdirectedRequest {
