Connections that a path resets are no crashes of the request on them

Callers saw: a request that was on three connections when the path of its instance reset them, at different times, was refused by every instance as crashes-servers. Cause: each closed connection counted as a crash of its server; nothing asked whether the server was the cause. Change: a closed connection starts a trial connection to its server, and one to two others if that fails; the crash counts 0.7 s later unless the path turns out to be lost, or others reach the server. A server that can't be told from its path still counts. Ruled out: leaving it to the window for common causes, which needs other resets at the same time.

--- a/core/reach/paths.go
+++ b/core/reach/paths.go
@@ -55,6 +55,8 @@
 	failedAt time.Time
 	// triedAt is when the last trial connection began.
 	triedAt time.Time
+	// checkedAt is when the server last closed a connection with a request on it.
+	checkedAt time.Time
 	// darkUntil is until when the server counts as unreachable for all instances,
 	// relayedAt is when another instance last reached it.
 	darkUntil time.Time
@@ -279,14 +281,16 @@
 
 // Suspects returns other servers to which a trial connection tells whether the path is
 // lost, now that the one to the given server has failed. It returns none if that is
-// known, or if any server was heard shortly before.
+// known, or if any server was heard shortly before and the failure is not that of a check.
 func (pas *Paths) Suspects(now time.Time, ser Server) []Server {
-	if pas.Lost(now, ser.Service) || !pas.Silent(now.Add(-quietTime)) || now.Before(pas.path(now, ser).darkUntil) {
+	pth := pas.path(now, ser)
+	suspect := pas.Silent(now.Add(-quietTime)) || now.Sub(pth.checkedAt) < trialInterval
+	if !suspect || pas.Lost(now, ser.Service) || now.Before(pth.darkUntil) {
 		return nil
 	}
 	var out []Server
 	for oth, pth := range pas.paths {
-		if oth != ser && oth.Service == ser.Service && pth.failedAt.IsZero() && now.Sub(pth.triedAt) >= trialInterval {
+		if oth != ser && oth.Service == ser.Service && now.Sub(pth.failedAt) >= freshTime && now.Sub(pth.triedAt) >= trialInterval {
 			out = append(out, oth)
 		}
 	}
@@ -332,6 +336,14 @@
 	return out
 }
 
+// Check records that a server closed a connection with a request on it. It reports
+// whether a trial connection, which tells whether the path was the cause, is due.
+func (pas *Paths) Check(now time.Time, ser Server) bool {
+	pth := pas.path(now, ser)
+	pth.checkedAt = now
+	return pas.beginTrial(now, pth)
+}
+
 // Sweep drops the paths that were not used for a while.
 func (pas *Paths) Sweep(now time.Time) {
 	for ser, pth := range pas.paths {
--- a/core/reach/reach_test.go
+++ b/core/reach/reach_test.go
@@ -50,6 +50,8 @@
 // run runs one operation and returns its result; "" if it has none.
 func run(pas *Paths, now time.Time, operation string, ser Server) string {
 	switch operation {
+	case "check":
+		return fmt.Sprint(pas.Check(now, ser))
 	case "heard":
 		pas.Heard(now, ser)
 	case "connected":
--- a/io/conns/path.go
+++ b/io/conns/path.go
@@ -218,6 +218,25 @@
 	})
 }
 
+// CheckPath opens a trial connection to a server that closed a connection with a request
+// on it, unless one was opened shortly before. Some time later, NoPathTo tells whether
+// this instance's path was the cause.
+func (poo *Pool) CheckPath(service, address string) {
+	ser := reach.Server{Service: service, Address: address}
+	poo.paths.mu.Lock()
+	due := poo.paths.state.Check(poo.clk.Now(), ser)
+	poo.paths.mu.Unlock()
+	if due {
+		poo.try(ser)
+	}
+}
+
+// NoPathTo reports whether this instance has no path to a server, while others have or
+// the servers of its service can't all be gone.
+func (poo *Pool) NoPathTo(service, address string) bool {
+	return poo.ReachedByOthers(Request{Service: service, Address: address})
+}
+
 // tryLost opens trial connections to servers to which the path is lost, and drops
 // what is known of servers that are not used any more.
 func (poo *Pool) tryLost() {
--- a/io/entry/plain.go
+++ b/io/entry/plain.go
@@ -349,5 +349,16 @@
 	if ctx.Err() != nil || !conns.ServerClosed(err) {
 		return
 	}
-	arq.srv.ctl.Crashed(arq.fpr, ent.Start())
+	srv, fpr, service := arq.srv, arq.fpr, arq.service
+	srv.poo.CheckPath(service, ent.Address)
+	srv.clk.StartWatchdog(crashCheckTime, func() {
+		if !srv.poo.NoPathTo(service, ent.Address) {
+			srv.ctl.Crashed(fpr, ent.Start())
+		}
+	})
 }
+
+// crashCheckTime is how long a lost connection may turn out to be one of this instance's
+// path, before it counts against the request. Trial connections to the server and to two
+// others take less.
+const crashCheckTime = 700 * time.Millisecond
