Servers that fall over when they reject too much are filled to their slots only

Callers saw: with plain servers that say that they are brittle and let none wait, 262 of 3,600 requests served, 82 cut off, the servers falling again and again. Cause: the word wasn't read, and each instance tries a full server again 0.1 s later by itself; together they make it reject far more than it survives. Change: Server-Brittle is decoded, passed on to all instances like a rate limit, and kept 10 s or until an answer says it no more. The coordinator places all requests to such a service, as it does for rate limits, no more at a time than the servers have slots; each side of a partition its part of them. After a rejection a server gets nothing more that could bring it over half of its number in a second. Ruled out: a rate each instance keeps by itself, which can't use the room of a server while load is uneven.

--- a/core/call/call.go
+++ b/core/call/call.go
@@ -142,6 +142,10 @@
 	// the field can't be parsed and is ignored.
 	RetryAfter        time.Duration
 	RetryAfterInvalid bool
+	// Brittle is how many rejections in a second the server survives; 0 if it doesn't
+	// say. BrittleInvalid says that the field can't be parsed and is ignored.
+	Brittle        int
+	BrittleInvalid bool
 }
 
 // maxPieces is the maximum number of pieces of one request over all stages.
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -200,7 +200,7 @@
 		if eng.ent.Leaving || qry.Avoid[eng.ent.ID] || !eng.rec.Available(now) || !pol.fits(eng, qry) {
 			continue
 		}
-		if limits && (qry.paused(eng.ent.ID) || !pol.rates.Allowed(now, eng.ent.ID)) {
+		if limits && (qry.paused(eng.ent.ID) || !pol.rates.Allowed(now, eng.ent.ID) || !pol.rates.MayReject(now, eng.ent.ID, 0)) {
 			continue
 		}
 		var cost time.Duration
@@ -224,9 +224,9 @@
 
 func (pol *Pool) fits(eng *engine, qry Query) bool {
 	if pol.slots == 0 {
-		return eng.runs < max(1, eng.ent.Slots)
+		return eng.runs < pol.rates.BrittleSlots(eng.ent.ID, max(1, eng.ent.Slots))
 	}
-	if float64(eng.runs) >= maxSlotShare*float64(pol.slots) {
+	if float64(eng.runs) >= maxSlotShare*float64(pol.rates.BrittleSlots(eng.ent.ID, pol.slots)) {
 		return false
 	}
 	return pol.memory == 0 || eng.runTokens+qry.PromptTokens+qry.MaxOutputTokens <= pol.memory
--- a/core/place/run.go
+++ b/core/place/run.go
@@ -184,6 +184,9 @@
 	case Failed:
 		return eng.rec.Failed(now)
 	case Full, WrongServer:
+		if out == Full {
+			pol.rates.Rejected(now, run.engine)
+		}
 		eng.rec.Eject(now)
 		return true
 	}
--- a/core/rates/rates.go
+++ b/core/rates/rates.go
@@ -88,6 +88,8 @@
 	// recent counts what servers got lately. A server that starts again under its
 	// ID keeps its count: its earlier requests may still arrive.
 	recent map[string]*recentSends
+	// brittle are the servers that fall over if they have to reject too many requests.
+	brittle map[string]*brittleServer
 	// fraction is the part of each rate that this instance may use, above 0 and
 	// at most 1; coldFraction is the same without slack.
 	fraction     float64
@@ -98,7 +100,7 @@
 
 // NewLimiter returns a limiter without limits.
 func NewLimiter() *Limiter {
-	return &Limiter{limits: map[string]*serverLimit{}, coldLimits: map[string]*coldLimit{}, recent: map[string]*recentSends{}, fraction: 1, coldFraction: 1}
+	return &Limiter{limits: map[string]*serverLimit{}, coldLimits: map[string]*coldLimit{}, recent: map[string]*recentSends{}, brittle: map[string]*brittleServer{}, fraction: 1, coldFraction: 1}
 }
 
 // SetMembers sets how many of the known entry instances this one considers
@@ -204,6 +206,11 @@
 			delete(lim.coldLimits, id)
 		}
 	}
+	for id := range lim.brittle {
+		if gone(id) {
+			delete(lim.brittle, id)
+		}
+	}
 	for id := range lim.recent {
 		if gone(id) {
 			delete(lim.recent, id)
@@ -212,7 +219,8 @@
 }
 
 // Restarted drops the limit that an earlier start of a server reported. The limit
-// of a cold start holds on.
+// of a cold start holds on, and so does what is known of a brittle server, which may be
+// back from a fall.
 func (lim *Limiter) Restarted(server string) { delete(lim.limits, server) }
 
 // ownRate returns this instance's part of a limit, in requests a second.
--- a/core/sched/callstatus.go
+++ b/core/sched/callstatus.go
@@ -83,6 +83,7 @@
 		sch.applyResults(now, act, results)
 	case Full:
 		ser.fullUntil = now.Add(fullBackoff)
+		sch.rates.Rejected(now, ser.ent.ID)
 		ser.rec.Succeeded()
 		sch.requeue(now, act)
 	case WrongServer:
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -298,7 +298,7 @@
 
 // canTakeCall reports whether a server should get its next call now.
 func (pol *pool) canTakeCall(now time.Time, ser *server) bool {
-	if !ser.usable(now) || pol.pauseLeft(now, ser) > 0 || !pol.rates.Allowed(now, ser.ent.ID) {
+	if !ser.usable(now) || pol.pauseLeft(now, ser) > 0 || !pol.rates.Allowed(now, ser.ent.ID) || !pol.rates.MayReject(now, ser.ent.ID, len(ser.inFlight)) {
 		return false
 	}
 	num := len(ser.inFlight)
--- a/io/edge/answers.go
+++ b/io/edge/answers.go
@@ -14,6 +14,7 @@
 func (ctl *Control) ObserveResponse(ent stock.Entry, ans call.ResponseHead) {
 	ctl.observeLoad(ent, ans)
 	ctl.observeLimit(ent.ID, ans)
+	ctl.observeBrittle(ent.ID, ans)
 	ctl.observeLeaving(ent, ans)
 	ctl.observeRetryAfter(ent, ans)
 }
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -282,7 +282,7 @@
 	viw := &entry.View{
 		Table: ctl.tab, Servers: ctl.servers, Unusable: ctl.unusable, Verified: ctl.verified, Stopping: ctl.stopping,
 		ClosingAt: ctl.closingAt, Marks: ctl.marks, Live: live, Known: known, SilentZones: ctl.unreachable,
-		LimitedServers: ctl.limits.servers(), LimitedServices: ctl.limits.services(now, ctl.servers),
+		LimitedServers: ctl.limits.servers(), BrittleServers: ctl.limits.limiter.BrittleServers(), LimitedServices: ctl.limits.services(now, ctl.servers),
 		Retries:           entry.RetryLimits{Ratio: ctl.set.RetryRatio, Slack: ctl.set.RetrySlack, Window: ctl.set.RetryWindow},
 		UndividedAccounts: ctl.set.UndividedAccounts, Notices: ctl.accounts.byResource(now),
 	}
--- a/io/edge/events.go
+++ b/io/edge/events.go
@@ -294,6 +294,9 @@
 		for _, rep := range msg.List {
 			ctl.applyLimit(now, rep, evt.from)
 		}
+		for id, rejections := range msg.Brittle {
+			ctl.applyBrittle(now, id, rejections, evt.from)
+		}
 	case mesh.Usages:
 		ctl.handleUsages(now, evt.from, msg)
 	case mesh.Standings:
--- a/io/edge/limits.go
+++ b/io/edge/limits.go
@@ -33,10 +33,12 @@
 	// last limit.
 	sentAt  map[string]time.Time
 	freedAt map[string]time.Time
+	// brittleSentAt is when a brittle server was last sent to the peers.
+	brittleSentAt map[string]time.Time
 }
 
 func newLimits() *limits {
-	return &limits{limiter: rates.NewLimiter(), sentAt: map[string]time.Time{}, freedAt: map[string]time.Time{}}
+	return &limits{limiter: rates.NewLimiter(), sentAt: map[string]time.Time{}, freedAt: map[string]time.Time{}, brittleSentAt: map[string]time.Time{}}
 }
 
 // servers returns the limited servers; nil if there are none.
@@ -54,13 +56,14 @@
 // services returns the services with a limited or cold server; nil if there are
 // none.
 func (lim *limits) services(now time.Time, live map[string][]stock.Entry) map[string]bool {
-	if !lim.limiter.Bounded() {
+	brittle := lim.limiter.BrittleServers()
+	if !lim.limiter.Bounded() && brittle == nil {
 		return nil
 	}
 	out := map[string]bool{}
 	for name, list := range live {
 		for _, ent := range list {
-			if _, limited := lim.limiter.OwnRate(now, ent.ID); limited {
+			if _, limited := lim.limiter.OwnRate(now, ent.ID); limited || brittle[ent.ID] > 0 {
 				out[name] = true
 			}
 		}
@@ -146,6 +149,7 @@
 // applyDueLimits applies reports whose delay is over.
 func (ctl *Control) applyDueLimits(now time.Time) {
 	ctl.expireColdServers(now)
+	ctl.expireBrittle(now)
 	if !ctl.limits.limiter.Bounded() {
 		clear(ctl.limits.sentAt)
 		clear(ctl.limits.freedAt)
--- a/io/entry/view.go
+++ b/io/entry/view.go
@@ -25,9 +25,11 @@
 	Unusable map[string]bool
 	// SilentZones holds the zones whose entry instances are all silent.
 	SilentZones map[string]bool
-	// LimitedServers holds the servers that state a rate limit, LimitedServices
-	// the services that have such a server. Both are nil if there are none.
+	// LimitedServers holds the servers that state a rate limit, BrittleServers the
+	// rejections in a second that brittle servers survive, and LimitedServices the
+	// services that have such a server. All are nil if there are none.
 	LimitedServers  map[string]bool
+	BrittleServers  map[string]int
 	LimitedServices map[string]bool
 	// Verified is false after the process was paused, until its state has been
 	// confirmed by fresh messages.
--- a/io/mesh/message.go
+++ b/io/mesh/message.go
@@ -1,7 +1,9 @@
 package mesh
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -105,8 +107,13 @@
 	// HeldResults reports results that a stage server holds for a request of the
 	// receiver.
 	HeldResults struct{ sched.HeldResults }
-	// Limits reports the request rates that backend servers accept.
-	Limits struct{ List []rates.Report }
+	// Limits reports the request rates that backend servers accept, and the brittle
+	// servers with the rejections in a second that they survive, 0 once they are not
+	// brittle any more.
+	Limits struct {
+		List    []rates.Report
+		Brittle map[string]int
+	}
 	// Usages reports to the coordinator what client accounts ask of contended
 	// services through the sender.
 	Usages struct{ List []fair.Usage }
@@ -396,6 +403,9 @@
 	for _, rep := range msg.List {
 		out.List = append(out.List, &wire.Limit{Server: rep.Server, Rate: rep.Rate, Ended: rep.Ended})
 	}
+	for _, id := range slices.Sorted(maps.Keys(msg.Brittle)) {
+		out.Brittle = append(out.Brittle, &wire.Brittle{Server: id, Rejections: uint32(max(0, msg.Brittle[id]))}) //nolint:gosec // The decoder of answers bounds it.
+	}
 	return &wire.Envelope{Body: &wire.Envelope_Limits{Limits: out}}
 }
 
@@ -407,6 +417,12 @@
 			out.List = append(out.List, rates.Report{Server: one.GetServer(), Rate: one.GetRate(), Ended: one.GetEnded()})
 		}
 	}
+	for _, bri := range lim.GetBrittle() {
+		if out.Brittle == nil {
+			out.Brittle = map[string]int{}
+		}
+		out.Brittle[bri.GetServer()] = int(bri.GetRejections())
+	}
 	return out
 }
 
