Soak, fakes: cut paths, brittle servers, servers silent for a second; limits of dead links

Callers saw: nothing new; the soak drew none of these faults, and no test held what links do whose other end vanishes. Change: the soak cuts the path of instances that read it from a file (silently, by resets, for new connections only) and makes servers brittle or silent for 1.1 s.

--- a/cmd/lovagestand/entry.go
+++ b/cmd/lovagestand/entry.go
@@ -12,6 +12,7 @@
 	"lovagestream/io/group"
 	"lovagestream/io/lines"
 	plat "lovagestream/platform"
+	"lovagestream/platform/fakes"
 	"lovagestream/stand/skew"
 )
 
@@ -27,6 +28,7 @@
 	path := fls.String("settings", "", "settings `file` of the platform")
 	advertised := fls.String("told", "", "`address` that other instances use to reach this one")
 	skewFile := fls.String("skew", "", "`file` with the offset of the time of day")
+	pathFile := fls.String("path", "", "`file` that says how the path to the backend servers is cut: silent, reset, refused, or nothing")
 	if fls.Parse(args) != nil {
 		return exitUsage
 	}
@@ -50,6 +52,8 @@
 	grp := group.New(ctx)
 	defer grp.Stop()
 	grp.Go(func(ctx context.Context) error { return clk.FollowFile(ctx, *skewFile) })
+	pth := fakes.NewPath(set.IP)
+	grp.Go(func(ctx context.Context) error { return pth.FollowFile(ctx, *pathFile) })
 	nod, err := edge.New(ctx, set, edge.Dependencies{
 		Dialect: plat.Codec{},
 		NewSource: func(dial func(context.Context, string, string) (net.Conn, error)) follow.Source {
@@ -58,6 +62,8 @@
 		Reload: read,
 		Log:    lines.New(out, clk),
 		Clock:  clk,
+
+		DialServer: pth.Dial,
 	})
 	if err == nil {
 		err = nod.Run()
--- a/io/conns/conns_test.go
+++ b/io/conns/conns_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -10,6 +11,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"lovagestream/core/call"
 	"lovagestream/io/clock"
@@ -120,3 +122,29 @@
 	send()
 	require.Equal(t, opened+1, poo.Opened())
 }
+
+// With TCP_USER_TIMEOUT set, it decides when keep-alive probes give up, whatever their
+// count. A connection that waits for a response and one with unacknowledged bytes must
+// both be given up after three seconds.
+func TestVanishedServersAreGivenUpInTime(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = lis.Close() }()
+	dlr := Dialer(nil)
+	con, err := dlr.Dial("tcp", lis.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = con.Close() }()
+	raw, err := con.(*net.TCPConn).SyscallConn()
+	require.NoError(t, err)
+	read := func(fd uintptr, option int, unit time.Duration) time.Duration {
+		got, err := unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, option)
+		require.NoError(t, err)
+		return time.Duration(got) * unit
+	}
+	require.NoError(t, raw.Control(func(fd uintptr) {
+		user := read(fd, unix.TCP_USER_TIMEOUT, time.Millisecond)
+		require.Equal(t, 3*time.Second, user)
+		probes := read(fd, unix.TCP_KEEPCNT, 1)
+		require.Equal(t, user, read(fd, unix.TCP_KEEPIDLE, time.Second)+probes*read(fd, unix.TCP_KEEPINTVL, time.Second))
+	}))
+}
--- a/stand/field/fault.go
+++ b/stand/field/fault.go
@@ -47,6 +47,8 @@
 	{"server-odd", false, (*injector).misbehaveServer},
 	{"server-limits", true, (*injector).limitServers},
 	{"server-replaced", false, (*injector).reuseAddress},
+	{"path-cut", false, (*injector).cutPath},
+	{"server-brittle", false, (*injector).makeBrittle},
 	{"server-link", false, (*injector).breakServerLink},
 	{"peer-link", false, (*injector).breakPeerLink},
 	{"zone-cut", false, (*injector).cutZone},
--- a/stand/field/field.go
+++ b/stand/field/field.go
@@ -278,7 +278,7 @@
 	args := []string{"edge", "-settings", ins.settingsFile, "-told", ins.link.Address()}
 	if ins.skewFile != "" {
 		path = filepath.Join(clu.opt.Dir, "lovagestand")
-		args = append([]string{"entry", "-skew", ins.skewFile}, args[1:]...)
+		args = append([]string{"entry", "-skew", ins.skewFile, "-path", ins.pathFile()}, args[1:]...)
 	}
 	if clu.opt.MaxProcs > 0 {
 		path, args = "/usr/bin/env", append([]string{"GOMAXPROCS=" + itoa(clu.opt.MaxProcs), path}, args...)
--- a/stand/field/instances.go
+++ b/stand/field/instances.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"os"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"lovagestream/platform/fakes"
 	"lovagestream/stand/skew"
 )
 
@@ -128,6 +130,26 @@
 	return time.Duration(inj.rng.Int64N(int64(2*maxSkew))) - maxSkew
 }
 
+// pathFile is the file that cuts the path to the backend servers of an instance that
+// has a skew file.
+func (ins *instance) pathFile() string { return ins.skewFile + ".path" }
+
+// pathCuts are the ways in which the path to the backend servers is lost.
+var pathCuts = []fakes.Cut{fakes.SilentCut, fakes.ResetCut, fakes.RefusedCut}
+
+// cutPath cuts an instance off from all backend servers, while callers, the store and
+// the other instances reach it.
+func (inj *injector) cutPath(ctx context.Context) error {
+	cut := pathCuts[inj.rng.IntN(len(pathCuts))]
+	return inj.injectInto(inj.takeInstanceWhere(hasSkewFile), "path-cut "+string(cut), false, func(ins *instance) error {
+		if err := os.WriteFile(ins.pathFile(), []byte(cut), 0o600); err != nil {
+			return errors.Wrap(err, "cut the path")
+		}
+		sleep(ctx, 2*inj.drawDuration())
+		return errors.Wrap(os.WriteFile(ins.pathFile(), nil, 0o600), "restore the path")
+	})
+}
+
 func hasSkewFile(ins *instance) bool { return ins.skewFile != "" }
 
 // stepClock steps an instance's time of day back and forth. Nothing may depend
--- a/stand/field/servers.go
+++ b/stand/field/servers.go
@@ -135,8 +135,19 @@
 	})
 }
 
+// makeBrittle makes a server take few requests and fall over if it rejects more than a few
+// of them in a second.
+func (inj *injector) makeBrittle(ctx context.Context) error {
+	return inj.injectIntoServer("server-brittle", false, func(ser *server) error {
+		ser.fake.SetBrittle("5", 5, 1+inj.rng.IntN(8), 20*time.Millisecond)
+		sleep(ctx, quietBefore+inj.drawDuration())
+		ser.fake.SetBrittle("", 0, 0, 0)
+		return nil
+	})
+}
+
 // misbehaviors are the fake server's modes of faulty responses.
-var misbehaviors = []string{"shed", "error", "busy", "cut", "garble", "foreign", "short", "hang", "slow", "break"}
+var misbehaviors = []string{"shed", "error", "busy", "cut", "garble", "foreign", "short", "hang", "slow", "break", "stall"}
 
 // limitValues are the rate limits that a server announces, in turn; some are
 // empty or invalid.
