--- a/io/conns/path.go
+++ b/io/conns/path.go
@@ -112,14 +112,6 @@
 	return poo.paths.state.LostServices()
 }
 
-// ReachedByOthers reports whether this instance can't connect to the server of a
-// request, while others do.
-func (poo *Pool) ReachedByOthers(req Request) bool {
-	poo.paths.mu.Lock()
-	defer poo.paths.mu.Unlock()
-	return poo.paths.state.Lost(poo.clk.Now(), req.Service) || poo.paths.state.ReachedByOthers(poo.clk.Now(), req.server())
-}
-
 // lost reports whether there is no path to the servers of a service.
 func (pas *paths) lost(now time.Time, service string) bool {
 	pas.mu.Lock()
@@ -136,39 +128,24 @@
 	return pas.state.Way(now, ser)
 }
 
+// heard records that a server sent something.
 func (pas *paths) heard(now time.Time, ser reach.Server) {
 	pas.mu.Lock()
 	defer pas.mu.Unlock()
 	pas.state.Heard(now, ser)
 }
 
-// connected records a connection that opened.
-func (pas *paths) connected(now time.Time, ser reach.Server) {
-	pas.mu.Lock()
-	back := pas.state.Connected(now, ser)
-	pas.mu.Unlock()
-	if back {
-		pas.changed()
-	}
-}
-
-// unreachable records that other instances don't reach a server either.
-func (pas *paths) unreachable(now time.Time, ser reach.Server) {
+// update changes the state and calls changed if fun reports that a service's path was
+// lost or is back.
+func (pas *paths) update(fun func(sta *reach.Paths) bool) {
 	pas.mu.Lock()
-	back := pas.state.Unreachable(now, ser)
+	changed := fun(pas.state)
 	pas.mu.Unlock()
-	if back {
+	if changed {
 		pas.changed()
 	}
 }
 
-// relayed records that another instance reached a server.
-func (pas *paths) relayed(now time.Time, ser reach.Server) {
-	pas.mu.Lock()
-	defer pas.mu.Unlock()
-	pas.state.Relayed(now, ser)
-}
-
 // connectFailed records a connection that didn't open. It returns the servers to try
 // next.
 func (pas *paths) connectFailed(now time.Time, ser reach.Server) []reach.Server {
@@ -198,7 +175,7 @@
 func (poo *Pool) noteConnect(ser reach.Server, err error) {
 	now := poo.clk.Now()
 	if err == nil {
-		poo.paths.connected(now, ser)
+		poo.paths.update(func(sta *reach.Paths) bool { return sta.Connected(now, ser) })
 		return
 	}
 	for _, oth := range poo.paths.connectFailed(now, ser) {
@@ -231,10 +208,13 @@
 	}
 }
 
-// NoPathTo reports whether this instance has no path to a server, while others have or
-// the servers of its service can't all be gone.
+// NoPathTo reports whether this instance can't connect to a server for want of a path:
+// others reach the server, or none of its service's servers can be reached.
 func (poo *Pool) NoPathTo(service, address string) bool {
-	return poo.ReachedByOthers(Request{Service: service, Address: address})
+	poo.paths.mu.Lock()
+	defer poo.paths.mu.Unlock()
+	now, sta := poo.clk.Now(), poo.paths.state
+	return sta.Lost(now, service) || sta.ReachedByOthers(now, reach.Server{Service: service, Address: address})
 }
 
 // tryLost opens trial connections to servers to which the path is lost, and drops
@@ -268,15 +248,19 @@
 		}
 	}
 	res, rerr := poo.paths.relay.Exchange(ctx, req, id)
+	now, ser := poo.clk.Now(), req.server()
 	var drk *UnreachableError
 	if errors.As(rerr, &drk) {
-		poo.paths.unreachable(poo.clk.Now(), req.server())
+		poo.paths.update(func(sta *reach.Paths) bool { return sta.Unreachable(now, ser) })
 		return nil, &SendError{Address: req.Address, Cause: &UnreachableError{Address: req.Address, Cause: err}}
 	}
 	if rerr != nil {
 		return nil, rerr
 	}
-	poo.paths.relayed(poo.clk.Now(), req.server())
+	poo.paths.update(func(sta *reach.Paths) bool {
+		sta.Relayed(now, ser)
+		return false
+	})
 	rep := &Reply{Header: res.Header, Length: res.Length, Relay: res.Relay, remote: res.Body, ResponseHead: head(res.Status, res.Header)}
 	return rep, nil
 }
--- a/io/edge/relay.go
+++ b/io/edge/relay.go
@@ -235,7 +235,7 @@
 		out.Sent, out.Cause, out.Remaining = false, mesh.RelayPaused, pau.Remaining
 	case errors.As(err, &lim):
 		out.Sent, out.Cause = false, mesh.RelayBusy
-	case errors.As(err, &sen) && rly.poo.ReachedByOthers(req):
+	case errors.As(err, &sen) && rly.poo.NoPathTo(req.Service, req.Address):
 		out.Sent, out.Cause = false, mesh.RelayNoPath
 	case errors.As(err, &sen):
 		out.Sent, out.Cause = false, mesh.RelayUnreachable
