reach: unreachable servers are called so

Cause: a server that no instance reaches was called dark, a word of our own. Measured: tests of core/reach and io/conns.

--- a/core/reach/paths.go
+++ b/core/reach/paths.go
@@ -24,9 +24,9 @@
 	// servers are the more likely cause.
 	lostServers    = 3
 	minLostServers = 2
-	// darkTime is for how long a server that a relay couldn't reach either gets nothing
+	// unreachableTime is for how long a server that a relay couldn't reach either gets nothing
 	// but trial connections.
-	darkTime = time.Second
+	unreachableTime = time.Second
 	// freshTime is for how long a failure says that the path doesn't work. Trial
 	// connections repeat it sooner while that is so.
 	freshTime = 1500 * time.Millisecond
@@ -57,10 +57,10 @@
 	triedAt time.Time
 	// checkedAt is when the server last closed a connection with a request on it.
 	checkedAt time.Time
-	// darkUntil is until when the server counts as unreachable for all instances,
+	// unreachableUntil is until when the server counts as unreachable for all instances,
 	// relayedAt is when another instance last reached it.
-	darkUntil time.Time
-	relayedAt time.Time
+	unreachableUntil time.Time
+	relayedAt        time.Time
 }
 
 // group is the state of the paths to the servers of one service.
@@ -125,16 +125,16 @@
 	// Trial is set if a connection should be opened meanwhile, to learn whether the
 	// path works again.
 	Trial bool
-	// Dark is set if other instances don't reach the server either, so that the request
+	// Unreachable is set if other instances don't reach the server either, so that the request
 	// fails unless it uses an open connection.
-	Dark bool
+	Unreachable bool
 }
 
 // Way returns how to send a request now.
 func (pas *Paths) Way(now time.Time, ser Server) Way {
 	pth := pas.path(now, ser)
-	if now.Before(pth.darkUntil) {
-		return Way{Kept: pth.failedAt.IsZero() || pth.heardAt.After(pth.failedAt), Dark: true, Trial: pas.beginTrial(now, pth)}
+	if now.Before(pth.unreachableUntil) {
+		return Way{Kept: pth.failedAt.IsZero() || pth.heardAt.After(pth.failedAt), Unreachable: true, Trial: pas.beginTrial(now, pth)}
 	}
 	since, lost := pas.lostSince(now, ser.Service)
 	if !lost && now.Sub(pth.failedAt) < freshTime {
@@ -213,7 +213,7 @@
 // service's servers was lost before.
 func (pas *Paths) Connected(now time.Time, ser Server) bool {
 	pth, grp := pas.path(now, ser), pas.group(ser.Service)
-	pth.failedAt, pth.darkUntil, pth.triedAt = time.Time{}, time.Time{}, time.Time{}
+	pth.failedAt, pth.unreachableUntil, pth.triedAt = time.Time{}, time.Time{}, time.Time{}
 	pas.goodAt = now
 	was := grp.lost
 	grp.lost = false
@@ -234,7 +234,7 @@
 func (pas *Paths) ConnectFailed(now time.Time, ser Server) bool {
 	pth, grp := pas.path(now, ser), pas.group(ser.Service)
 	pth.failedAt, grp.failedAt = now, now
-	if now.Before(pth.darkUntil) {
+	if now.Before(pth.unreachableUntil) {
 		return false
 	}
 	if len(grp.failing) == 0 {
@@ -255,21 +255,21 @@
 // Relayed records that another instance reached the server.
 func (pas *Paths) Relayed(now time.Time, ser Server) {
 	pth := pas.path(now, ser)
-	pth.relayedAt, pth.darkUntil = now, time.Time{}
+	pth.relayedAt, pth.unreachableUntil = now, time.Time{}
 }
 
 // ReachedByOthers reports whether the instance can't connect to a server that others
 // have reached since.
 func (pas *Paths) ReachedByOthers(now time.Time, ser Server) bool {
 	pth := pas.path(now, ser)
-	return !pth.failedAt.IsZero() && now.Sub(pth.relayedAt) < darkTime
+	return !pth.failedAt.IsZero() && now.Sub(pth.relayedAt) < unreachableTime
 }
 
 // Unreachable records that other instances couldn't connect to the server either. It
 // reports whether the path to the service's servers no longer counts as lost.
 func (pas *Paths) Unreachable(now time.Time, ser Server) bool {
 	grp := pas.group(ser.Service)
-	pas.path(now, ser).darkUntil = now.Add(darkTime)
+	pas.path(now, ser).unreachableUntil = now.Add(unreachableTime)
 	delete(grp.failing, ser.Address)
 	was := grp.lost
 	grp.lost = was && len(grp.failing) >= grp.lostNumber()
@@ -285,7 +285,7 @@
 func (pas *Paths) Suspects(now time.Time, ser Server) []Server {
 	pth := pas.path(now, ser)
 	suspect := pas.Silent(now.Add(-quietTime)) || now.Sub(pth.checkedAt) < trialInterval
-	if !suspect || pas.Lost(now, ser.Service) || now.Before(pth.darkUntil) {
+	if !suspect || pas.Lost(now, ser.Service) || now.Before(pth.unreachableUntil) {
 		return nil
 	}
 	var out []Server
@@ -367,7 +367,7 @@
 	for _, one := range []struct {
 		set  bool
 		name string
-	}{{way.Relay, "relay"}, {way.Kept, "kept"}, {way.Trial, "trial"}, {way.Dark, "dark"}} {
+	}{{way.Relay, "relay"}, {way.Kept, "kept"}, {way.Trial, "trial"}, {way.Unreachable, "unreachable"}} {
 		if one.set {
 			out = append(out, one.name)
 		}
--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -216,7 +216,7 @@
 		return poo.openConn(ctx, req, shortDialTimeout)
 	case way.Relay && (relay || req.Relayed || poo.paths.lost(poo.clk.Now(), req.Service)):
 		return nil, &PathError{Address: req.Address}
-	case way.Dark:
+	case way.Unreachable:
 		return nil, &UnreachableError{Address: req.Address, Cause: errors.New("no connection shortly before")}
 	case relay || req.Relayed:
 		return poo.openConn(ctx, req, shortDialTimeout)
--- a/io/conns/path.go
+++ b/io/conns/path.go
@@ -233,8 +233,8 @@
 // mayRelay reports whether a request for which no connection was had may be relayed.
 func (poo *Pool) mayRelay(ctx context.Context, req Request, err error) bool {
 	var lim *ConnLimitError
-	var drk *UnreachableError
-	if req.Relayed || ctx.Err() != nil || errors.As(err, &lim) || errors.As(err, &drk) {
+	var unr *UnreachableError
+	if req.Relayed || ctx.Err() != nil || errors.As(err, &lim) || errors.As(err, &unr) {
 		return false
 	}
 	return poo.paths.relayAvailable()
@@ -249,8 +249,8 @@
 	}
 	res, rerr := poo.paths.relay.Exchange(ctx, req, id)
 	now, ser := poo.clk.Now(), req.server()
-	var drk *UnreachableError
-	if errors.As(rerr, &drk) {
+	var unr *UnreachableError
+	if errors.As(rerr, &unr) {
 		poo.paths.update(func(sta *reach.Paths) bool { return sta.Unreachable(now, ser) })
 		return nil, &SendError{Address: req.Address, Cause: &UnreachableError{Address: req.Address, Cause: err}}
 	}
