core/fair: an instance that divides alone leaves more room

Each instance sees a few of the refusals and lets the accounts ask for 0.8 of what was served at the least, too much for requests that come at random to find a free slot. Change: down to 0.65 where an instance divides by itself; the coordinator's division stays.

--- a/core/fair/board.go
+++ b/core/fair/board.go
@@ -97,7 +97,7 @@
 		if tot.rest > 0 {
 			demands = append(demands, tot.rest)
 		}
-		level := waterLevel(demands, capacity(slots(resource), tot.served, tot.refused))
+		level := waterLevel(demands, capacity(slots(resource), tot.served, tot.refused, shrinkFactor))
 		for account, demand := range tot.demand {
 			if demand > level*namedFactor {
 				out = append(out, Standing{Account: account, Resource: resource, Demand: demand, Use: tot.use[account], Share: level, Wait: excessWait(demand, level)})
--- a/core/fair/local.go
+++ b/core/fair/local.go
@@ -19,10 +19,12 @@
 	// The accounts may ask for growFactor times what was served lately while no
 	// server refuses, which finds out whether there is more room, and for less the
 	// more are refused, down to shrinkFactor at refusedShare: accounts within their
-	// share find a free slot only if the others leave some.
-	growFactor   = 1.05
-	shrinkFactor = 0.8
-	refusedShare = 0.04
+	// share find a free slot only if the others leave some. Instances that divide by
+	// themselves see a few of the refusals each, and leave more.
+	growFactor        = 1.05
+	shrinkFactor      = 0.8
+	localShrinkFactor = 0.65
+	refusedShare      = 0.04
 	// maxCredit is the number of requests above its share that an account may
 	// send at once by the division of one instance, which sees few requests.
 	// noticeCredit is the part of a request with which it starts by the
@@ -231,19 +233,19 @@
 	}
 	loc.level, loc.levelAt = math.Inf(1), now
 	if len(demands) > 1 {
-		loc.level = waterLevel(demands, capacity(rom.Slots, loc.servers(loc.served.get(now)), loc.servers(loc.refused.get(now))))
+		loc.level = waterLevel(demands, capacity(rom.Slots, loc.servers(loc.served.get(now)), loc.servers(loc.refused.get(now)), localShrinkFactor))
 	}
 	return loc.level
 }
 
 // capacity is what accounts may ask for together of servers that did so much of
-// late, at least their slots.
-func capacity(slots, served, refused float64) float64 {
+// late, at least their slots; less by shrink while they refuse.
+func capacity(slots, served, refused, shrink float64) float64 {
 	share := 0.0
 	if refused > 0 {
 		share = min(1, refused/(served+refused)/refusedShare)
 	}
-	return max(slots, served) * (growFactor - share*(growFactor-shrinkFactor))
+	return max(slots, served) * (growFactor - share*(growFactor-shrink))
 }
 
 // account returns the entry of an account.
