Lines and a metric for crashes that aren't counted, and requests that pass in spite of three

A crash that reportCrash drops because the path to the server counts as lost wrote nothing, and neither did a request that passes although three servers crashed under it.

crash-not-counted names request, server and print, crashes-acquitted request, print and crashes; crash-checks counts the outcomes.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -287,6 +287,9 @@
 	if arq.viw.Marks.Refused(arq.arrived, arq.fpr) {
 		return arq.refuse("crashes-servers", crashRetryAfter)
 	}
+	if num := len(arq.viw.Marks.Crashes(arq.fpr)); num >= marks.CrashLimit {
+		arq.srv.log.Log("crashes-acquitted", lines.Fields{"id": arq.req.ID, "print": uint64(arq.fpr), "crashes": num})
+	}
 	if arq.mayOutlastStop() {
 		return arq.refuse("stopping", stoppingRetryAfter)
 	}
--- a/io/entry/plain.go
+++ b/io/entry/plain.go
@@ -373,12 +373,16 @@
 	if ctx.Err() != nil || !conns.ServerClosed(err) {
 		return
 	}
-	srv, fpr, service := arq.srv, arq.fpr, arq.service
+	srv, fpr, service, id := arq.srv, arq.fpr, arq.service, arq.req.ID
 	srv.poo.CheckPath(service, ent.Address)
 	srv.clk.StartWatchdog(crashCheckTime, func() {
 		if !srv.poo.NoPathTo(service, ent.Address) {
+			srv.gau.Count("crash-checks", "crashed")
 			srv.ctl.Crashed(fpr, ent.Start())
+			return
 		}
+		srv.gau.Count("crash-checks", "no-path")
+		srv.log.Log("crash-not-counted", lines.Fields{"id": id, "server": ent.Start(), "print": uint64(fpr), "reason": "no-path"})
 	})
 }
 
