Crashes by one request no longer acquit another

What callers saw: with several crashing requests none was ever refused; a service of three servers was down most of the time.

Cause: a request passed if more other servers crashed around its own three crashes than it had itself, which is meant for lost zones. The other crashes were those of other crashing requests.

The fingerprint with the most crashes is judged first and explains them; explained crashes neither acquit nor implicate anybody else. Crashes of servers that were started again (a new entry at their address, a lapsed entry, an answer before the next crash) don't count as a common cause either: what several servers have in common while they are out of reach is their path, not their restart. A server that answers later had not crashed.

Ruled out: judging by the crashes alone (TestCommonCause refuses innocent requests then).

--- a/core/marks/marks.go
+++ b/core/marks/marks.go
@@ -6,6 +6,8 @@
 // One crash or two refuse nothing: servers crash for other causes, and most
 // requests on them are innocent. The poison request shows when it is present at
 // a third crash, while the other requests were retried on different servers.
+// A complete answer clears the requests that have its fingerprint, and a server
+// that answers again under the same identity had not crashed.
 // The tables of different entry instances converge once their messages have
 // arrived: adding evidence is idempotent and commutative.
 //
@@ -13,8 +15,6 @@
 package marks
 
 import (
-	"slices"
-	"sort"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -32,8 +32,10 @@
 	// MaxBatch bounds the fingerprints of one crash that are sent to other
 	// instances.
 	MaxBatch = 256
-	// maxCrashes bounds the recorded crashes of all servers.
-	maxCrashes = 128
+	// maxCrashes bounds the recorded crashes of all servers, maxOwnCrashes those of
+	// one fingerprint.
+	maxCrashes    = 128
+	maxOwnCrashes = 8
 	// commonCauseWindow is the time before and after a request's own crashes in
 	// which other crashes count as having the same cause.
 	commonCauseWindow = 2 * time.Second
@@ -59,6 +61,13 @@
 	return Fingerprint(dig.Sum64())
 }
 
+// RefusedError is the error of a request that is not sent because requests like it crash
+// servers.
+type RefusedError struct{ Fingerprint Fingerprint }
+
+// Error says so.
+func (err *RefusedError) Error() string { return "the request crashes servers" }
+
 // Crash is the failure of a backend server with a request in flight.
 type Crash struct {
 	server string
@@ -98,200 +107,3 @@
 	}
 	return !oth.lastReply.After(crs.at) && oth.at.Sub(crs.at) < duplicateWindow
 }
-
-// CrashedBefore reports whether a crash is one that was recorded before a time: a
-// request that was sent later was not in flight at it.
-func (tab *Table) CrashedBefore(crs Crash, at time.Time) bool {
-	if tab == nil {
-		return false
-	}
-	for _, old := range tab.all {
-		if old.at.Before(at) && old.duplicates(crs) {
-			return true
-		}
-	}
-	return false
-}
-
-// CrashedAfter reports whether a crash of a server is recorded after a time.
-func (tab *Table) CrashedAfter(server string, since time.Time) bool {
-	if tab == nil {
-		return false
-	}
-	for _, crs := range tab.all {
-		if crs.server == server && crs.at.After(since) {
-			return true
-		}
-	}
-	return false
-}
-
-// Suspects returns the fingerprints that one more crash would implicate, sorted.
-func (tab *Table) Suspects() []Fingerprint {
-	if tab == nil {
-		return nil
-	}
-	var out []Fingerprint
-	for fpr, crashes := range tab.crashes {
-		if len(crashes) == CrashLimit-1 {
-			out = append(out, fpr)
-		}
-	}
-	slices.Sort(out)
-	return out
-}
-
-// Table is an immutable collection of evidence; With returns a new one. A nil
-// table is empty.
-type Table struct {
-	// crashes holds the newest crashes of each fingerprint, at most CrashLimit.
-	crashes map[Fingerprint][]Crash
-	// all holds the newest crashes of all servers, at most maxCrashes.
-	all []Crash
-}
-
-// Len returns the number of fingerprints with evidence.
-func (tab *Table) Len() int {
-	if tab == nil {
-		return 0
-	}
-	return len(tab.crashes)
-}
-
-// MostCrashes returns the highest number of crashes recorded against one
-// fingerprint.
-func (tab *Table) MostCrashes() int {
-	most := 0
-	if tab != nil {
-		for _, crashes := range tab.crashes {
-			most = max(most, len(crashes))
-		}
-	}
-	return most
-}
-
-// Crashes returns the evidence against a fingerprint.
-func (tab *Table) Crashes(fpr Fingerprint) []Crash {
-	if tab == nil {
-		return nil
-	}
-	return tab.crashes[fpr]
-}
-
-// With returns a table with a crash added to some fingerprints and without
-// expired crashes.
-func (tab *Table) With(now time.Time, crs Crash, prints ...Fingerprint) *Table {
-	nxt := &Table{crashes: map[Fingerprint][]Crash{}}
-	if tab != nil {
-		nxt.all = unexpired(now, tab.all)
-		for fpr, crashes := range tab.crashes {
-			if kept := unexpired(now, crashes); len(kept) > 0 {
-				nxt.crashes[fpr] = kept
-			}
-		}
-	}
-	for _, fpr := range prints {
-		nxt.crashes[fpr] = AddCrash(nxt.crashes[fpr], crs)
-	}
-	if len(prints) > 0 {
-		nxt.all = insert(nxt.all, crs, maxCrashes)
-	}
-	nxt.trim()
-	return nxt
-}
-
-// WithoutExpired returns the table without expired crashes.
-func (tab *Table) WithoutExpired(now time.Time) *Table { return tab.With(now, Crash{}) }
-
-// unexpired returns the crashes that have not expired. It does not modify its
-// argument.
-func unexpired(now time.Time, crashes []Crash) []Crash {
-	for i, crs := range crashes {
-		if now.Sub(crs.at) < CrashTTL {
-			if i == 0 {
-				return crashes
-			}
-			return crashes[i:]
-		}
-	}
-	return nil
-}
-
-// AddCrash returns evidence with one more crash, sorted by time. It does not
-// modify its argument.
-func AddCrash(crashes []Crash, crs Crash) []Crash { return insert(crashes, crs, CrashLimit) }
-
-func insert(crashes []Crash, crs Crash, most int) []Crash {
-	all := make([]Crash, 0, len(crashes)+1)
-	for _, old := range crashes {
-		if old.duplicates(crs) {
-			return crashes
-		}
-		all = append(all, old)
-	}
-	all = append(all, crs)
-	sort.SliceStable(all, func(i, j int) bool { return all[i].at.Before(all[j].at) })
-	return all[max(0, len(all)-most):]
-}
-
-// trim drops the fingerprints whose newest crash is oldest.
-func (tab *Table) trim() {
-	if len(tab.crashes) <= MaxFingerprints {
-		return
-	}
-	prints := make([]Fingerprint, 0, len(tab.crashes))
-	for fpr := range tab.crashes {
-		prints = append(prints, fpr)
-	}
-	newest := func(fpr Fingerprint) time.Time { return tab.crashes[fpr][len(tab.crashes[fpr])-1].at }
-	sort.Slice(prints, func(i, j int) bool {
-		left, right := newest(prints[i]), newest(prints[j])
-		return left.Before(right) || (left.Equal(right) && prints[i] < prints[j])
-	})
-	for _, fpr := range prints[:len(prints)-MaxFingerprints] {
-		delete(tab.crashes, fpr)
-	}
-}
-
-// Refused reports whether a request is refused.
-func (tab *Table) Refused(now time.Time, fpr Fingerprint) bool {
-	return tab.Implicated(now, tab.Crashes(fpr))
-}
-
-// Implicated reports whether the evidence implicates a request: it was in
-// flight at CrashLimit crashes, and no more other servers crashed around that
-// time without it. A lost zone or a failed device on the network path takes
-// many servers at once, and a request that is retried on one after the other
-// meets several of these crashes.
-func (tab *Table) Implicated(now time.Time, crashes []Crash) bool {
-	crashes = unexpired(now, crashes)
-	if len(crashes) < CrashLimit {
-		return false
-	}
-	return tab.countUnrelated(crashes) <= len(crashes)
-}
-
-// countUnrelated counts the crashes within commonCauseWindow of the given ones
-// that are not among them.
-func (tab *Table) countUnrelated(crashes []Crash) int {
-	if tab == nil {
-		return 0
-	}
-	from, to := crashes[0].at.Add(-commonCauseWindow), crashes[len(crashes)-1].at.Add(commonCauseWindow)
-	num := 0
-	for _, crs := range tab.all {
-		if crs.at.After(from) && crs.at.Before(to) && !contains(crashes, crs) {
-			num++
-		}
-	}
-	return num
-}
-
-func contains(crashes []Crash, crs Crash) bool {
-	for _, own := range crashes {
-		if own.duplicates(crs) {
-			return true
-		}
-	}
-	return false
-}
--- a/io/edge/events.go
+++ b/io/edge/events.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"lovagestream/core/marks"
 	"lovagestream/core/member"
 	"lovagestream/core/sched"
 	"lovagestream/core/stock"
@@ -161,6 +160,9 @@
 	if got == stock.Restarted {
 		ctl.forgetStart(rec.Entry)
 	}
+	if ctl.marks.Len() > 0 {
+		ctl.noteRestarts(now, rec, got)
+	}
 	ctl.logRecord(now, rec, got, from)
 	return got != stock.Full
 }
@@ -322,29 +324,6 @@
 	<-ctl.large
 }
 
-type evCrash struct {
-	msg   mesh.Crash
-	local bool
-	// from is the peer that reported the crash; empty if it was observed here.
-	from string
-}
-
-func (evt evCrash) apply(ctl *Control, now time.Time) {
-	ctl.marks = ctl.marks.With(now, marks.NewCrash(evt.msg.Server, now), marks.Fingerprint(evt.msg.Request))
-	ctl.viewStale = true
-	if evt.local {
-		ctl.log.Log("server-lost-with-request", lines.Fields{"server": evt.msg.Server, "print": evt.msg.Request})
-	} else if !ctl.mem.SelfIsHub(now) || ctl.mem.IsHub(now, evt.from) {
-		// Only hubs forward reports, and only of instances that link to hubs only.
-		return
-	}
-	for _, adr := range ctl.mem.Peers() {
-		if adr != evt.from {
-			ctl.lnk.Send(adr, evt.msg)
-		}
-	}
-}
-
 type evWrongServer struct{ ent stock.Entry }
 
 func (evt evWrongServer) apply(ctl *Control, now time.Time) {
