A crash counts as soon as the server refuses connections, whatever the path looks like

What callers saw: a request under which servers ended went on being sent. Most crashes of a small service, and all under relayed requests, were not counted.

Cause: a closed connection counted as a crash 0.7 s later and only if the path to the service didn't count as lost. While all servers of a service are down by the same request, the path does count as lost; requests go through relays then, and there no crash counted at all.

A closed connection is followed at once by a new one, by the instance that had it, the relay included (cause ended). Refused, the server has ended, and the crash counts without a wait. A lost path that refuses connections looks the same to one instance, so a server that answers a later request under the same identity withdraws its crash everywhere (message answered). Connections closed by servers that go on taking new ones count as before.

Ruled out: taking a lost path for the cause when no other instance reaches the servers, which needs a round of questions while copies come every 60 ms.

--- a/core/marks/marks.go
+++ b/core/marks/marks.go
@@ -75,6 +75,8 @@
 	// lastReply is when the server last answered before the crash; zero if it
 	// never did.
 	lastReply time.Time
+	// ended is set if the server refused new connections.
+	ended bool
 }
 
 // NewCrash returns a crash of a server at a time of this instance's clock.
@@ -87,6 +89,16 @@
 	return crs
 }
 
+// WithEnd sets that the server refused new connections. An answer of the same server later
+// shows that it was the path that refused them.
+func (crs Crash) WithEnd() Crash {
+	crs.ended = true
+	return crs
+}
+
+// Ended reports whether the server refused new connections.
+func (crs Crash) Ended() bool { return crs.ended }
+
 // Server returns the server's identity.
 func (crs Crash) Server() string { return crs.server }
 
--- a/core/marks/table.go
+++ b/core/marks/table.go
@@ -108,6 +108,13 @@
 	return false
 }
 
+// EndedBefore reports whether the end of a server is recorded before a time.
+func (tab *Table) EndedBefore(server string, at time.Time) bool {
+	return tab != nil && slices.ContainsFunc(tab.all, func(crs Crash) bool {
+		return crs.server == server && crs.ended && crs.at.Before(at)
+	})
+}
+
 // Suspects returns the fingerprints that one more crash would implicate, sorted.
 func (tab *Table) Suspects() []Fingerprint {
 	if tab == nil {
@@ -156,7 +163,7 @@
 // expired crashes.
 func (tab *Table) With(now time.Time, crs Crash, prints ...Fingerprint) *Table {
 	nxt := tab.clone(now)
-	if len(prints) > 0 && !nxt.answered[crs.server].After(crs.at) {
+	if len(prints) > 0 && !(crs.ended && nxt.answered[crs.server].After(crs.at)) {
 		crs = nxt.record(crs)
 		for _, fpr := range prints {
 			evi := nxt.prints[fpr]
@@ -210,7 +217,7 @@
 		clear(nxt.answered)
 	}
 	nxt.answered[server] = at
-	wrong := func(crs Crash) bool { return crs.server == server && crs.at.Before(at) }
+	wrong := func(crs Crash) bool { return crs.server == server && crs.ended && crs.at.Before(at) }
 	nxt.all = slices.DeleteFunc(slices.Clone(nxt.all), wrong)
 	for fpr, evi := range nxt.prints {
 		if slices.ContainsFunc(evi.crashes, wrong) {
--- a/io/conns/path.go
+++ b/io/conns/path.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -211,6 +212,38 @@
 	}
 }
 
+const (
+	// endChecks is how many connections are tried to a server that may have ended, and
+	// endCheckInterval the time between them: a process closes its listener and its
+	// connections one after the other.
+	endChecks        = 2
+	endCheckInterval = 30 * time.Millisecond
+)
+
+// Ended reports whether the server at an address refuses new connections, after it has closed
+// one. It takes a few milliseconds if so.
+func (poo *Pool) Ended(ctx context.Context, service, address string) bool {
+	for num := range endChecks {
+		if num > 0 && poo.clk.Sleep(ctx, endCheckInterval) != nil {
+			return false
+		}
+		con, err := poo.openConn(ctx, Request{Service: service, Address: address}, shortDialTimeout)
+		if err != nil {
+			return errors.Is(err, syscall.ECONNREFUSED)
+		}
+		poo.putIdle(con, 0)
+	}
+	return false
+}
+
+// CheckEnded calls fun with what Ended returns, in the background.
+func (poo *Pool) CheckEnded(service, address string, fun func(ended bool)) {
+	poo.grp.Go(func(ctx context.Context) error {
+		fun(poo.Ended(ctx, service, address))
+		return nil
+	})
+}
+
 // NoPathTo reports whether this instance can't connect to a server for want of a path:
 // others reach the server, or none of its service's servers can be reached.
 func (poo *Pool) NoPathTo(service, address string) bool {
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -376,11 +376,6 @@
 	ctl.post(evEnded{id: id, outcome: outcome})
 }
 
-// Crashed reports a server that was lost with a request in flight.
-func (ctl *Control) Crashed(fpr marks.Fingerprint, server string) {
-	ctl.post(evCrash{msg: mesh.Crash{Request: uint64(fpr), Server: server}, local: true})
-}
-
 // WrongServer reports that another server answered at a server's address.
 func (ctl *Control) WrongServer(ent stock.Entry) { ctl.post(evWrongServer{ent: ent}) }
 
--- a/io/edge/crashes.go
+++ b/io/edge/crashes.go
@@ -17,22 +17,68 @@
 }
 
 func (evt evCrash) apply(ctl *Control, now time.Time) {
-	ctl.marks = ctl.marks.With(now, marks.NewCrash(evt.msg.Server, now), marks.Fingerprint(evt.msg.Request))
+	crs := marks.NewCrash(evt.msg.Server, evt.msg.At)
+	if evt.msg.Ended {
+		crs = crs.WithEnd()
+	}
+	ctl.marks = ctl.marks.With(now, crs, marks.Fingerprint(evt.msg.Request))
 	ctl.rememberCrashed(now, evt.msg.Server)
 	ctl.viewStale = true
 	if evt.local {
-		ctl.log.Log("server-lost-with-request", lines.Fields{"server": evt.msg.Server, "print": evt.msg.Request})
-	} else if !ctl.mem.SelfIsHub(now) || ctl.mem.IsHub(now, evt.from) {
-		// Only hubs forward reports, and only of instances that link to hubs only.
+		ctl.log.Log("server-lost-with-request", lines.Fields{"server": evt.msg.Server, "print": evt.msg.Request, "ended": evt.msg.Ended})
+	}
+	ctl.spread(now, evt.from, evt.msg)
+}
+
+// spread sends a message about crashes to all peers, except to the one that it is from. Only
+// hubs forward, and only messages of instances that link to hubs only.
+func (ctl *Control) spread(now time.Time, from string, msg mesh.Message) {
+	if from != "" && (!ctl.mem.SelfIsHub(now) || ctl.mem.IsHub(now, from)) {
 		return
 	}
 	for _, adr := range ctl.mem.Peers() {
-		if adr != evt.from {
-			ctl.lnk.Send(adr, evt.msg)
+		if adr != from {
+			ctl.lnk.Send(adr, msg)
 		}
 	}
 }
 
+// Crashed reports a server that was lost with a request in flight.
+func (ctl *Control) Crashed(fpr marks.Fingerprint, server string, ended bool) {
+	ctl.post(evCrash{msg: mesh.Crash{Request: uint64(fpr), Server: server, Ended: ended, At: ctl.clk.Now()}, local: true})
+}
+
+type evAnswered struct {
+	server string
+	sent   time.Time
+}
+
+func (evt evAnswered) apply(ctl *Control, now time.Time) {
+	ctl.serversAnswered(now, []string{evt.server}, evt.sent, "")
+}
+
+// ServerAnswered reports that a server answered a request that was sent at a time.
+func (ctl *Control) ServerAnswered(server string, sent time.Time) {
+	ctl.post(evAnswered{server: server, sent: sent})
+}
+
+// serversAnswered drops the crashes of servers that have answered a request sent at a time. A
+// server doesn't end twice, so the time is not passed on.
+func (ctl *Control) serversAnswered(now time.Time, servers []string, sent time.Time, from string) {
+	var wrong []string
+	for _, srv := range servers {
+		if ctl.marks.EndedBefore(srv, sent) {
+			wrong = append(wrong, srv)
+			ctl.marks = ctl.marks.WithAnswer(now, srv, sent)
+			ctl.log.Log("server-not-lost", lines.Fields{"server": srv})
+		}
+	}
+	if len(wrong) > 0 {
+		ctl.viewStale = true
+		ctl.spread(now, from, mesh.Answered{Servers: wrong})
+	}
+}
+
 // noteRestarts records the servers that have ended, as a record shows: its server started in
 // their place, or its entry lapsed.
 func (ctl *Control) noteRestarts(now time.Time, rec stock.Record, got stock.Change) {
--- a/io/edge/relay.go
+++ b/io/edge/relay.go
@@ -177,7 +177,7 @@
 	}
 	rep, err := rly.poo.Do(ctx, req, cal.ID, rly.cdc.DecodeResponse)
 	if err != nil {
-		return rly.failed(req, err)
+		return rly.failed(ctx, req, err)
 	}
 	defer rep.Close()
 	if rep.ResponseHead.Status != http.StatusMisdirectedRequest {
@@ -199,7 +199,7 @@
 			rly.gau.Count("relayed-for-others", "answered")
 			return nil
 		case err != nil:
-			return rly.failed(req, &conns.SendError{Sent: true, Address: ent.Address, Cause: err})
+			return rly.failed(ctx, req, &conns.SendError{Sent: true, Address: ent.Address, Cause: err})
 		}
 	}
 }
@@ -220,15 +220,18 @@
 }
 
 // failed returns the error of a request whose send failed.
-func (rly *relay) failed(req conns.Request, err error) error {
+func (rly *relay) failed(ctx context.Context, req conns.Request, err error) error {
 	out := &mesh.RelayError{Sent: true, Text: err.Error()}
 	var sen *conns.SendError
 	var pau *pause.Error
 	var lim *conns.ConnLimitError
 	switch {
 	case errors.As(err, &sen) && sen.Sent:
-		if conns.ServerClosed(err) {
+		if conns.ServerClosed(err) && ctx.Err() == nil {
 			out.Cause = mesh.RelayClosed
+			if rly.poo.Ended(ctx, req.Service, req.Address) {
+				out.Cause = mesh.RelayEnded
+			}
 		}
 	case errors.As(err, &pau):
 		out.Sent, out.Cause, out.Remaining = false, mesh.RelayPaused, pau.Remaining
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -443,6 +443,7 @@
 		MaxConns: arq.srv.ctl.View().Connections(arq.service), Check: func() error { return arq.srv.ctl.MaySend(ent.ID) },
 		Abort: !arq.rou.AtMostOnce(), Deadline: arq.deadline,
 	}
+	sent := arq.srv.clk.Now()
 	rep, err = arq.srv.poo.Do(ctx, fwd, arq.req.ID, arq.srv.cdc.DecodeResponse)
 	if err == nil {
 		arq.relayedBy, arq.framing = rep.Relay, rep.Framing
@@ -450,6 +451,9 @@
 	}
 	if err == nil && rep.ResponseHead.Status != http.StatusMisdirectedRequest {
 		arq.srv.ctl.ObserveResponse(ent, rep.ResponseHead)
+		if arq.srv.ctl.View().Marks.EndedBefore(ent.Start(), sent) {
+			arq.srv.ctl.ServerAnswered(ent.Start(), sent)
+		}
 	}
 	return rep, err
 }
--- a/io/entry/plain.go
+++ b/io/entry/plain.go
@@ -366,27 +366,3 @@
 	arq.wri.WriteHeader(rep.ResponseHead.Status)
 	_, _ = arq.wri.Write(body)
 }
-
-// reportCrash reports a server that closed the connection with the request in
-// flight, unless the request was canceled.
-func (arq *activeRequest) reportCrash(ctx context.Context, ent stock.Entry, err error) {
-	if ctx.Err() != nil || !conns.ServerClosed(err) {
-		return
-	}
-	srv, fpr, service, id := arq.srv, arq.fpr, arq.service, arq.req.ID
-	srv.poo.CheckPath(service, ent.Address)
-	srv.clk.StartWatchdog(crashCheckTime, func() {
-		if !srv.poo.NoPathTo(service, ent.Address) {
-			srv.gau.Count("crash-checks", "crashed")
-			srv.ctl.Crashed(fpr, ent.Start())
-			return
-		}
-		srv.gau.Count("crash-checks", "no-path")
-		srv.log.Log("crash-not-counted", lines.Fields{"id": id, "server": ent.Start(), "print": uint64(fpr), "reason": "no-path"})
-	})
-}
-
-// crashCheckTime is how long a lost connection may turn out to be one of this instance's
-// path, before it counts against the request. Trial connections to the server and to two
-// others take less.
-const crashCheckTime = 700 * time.Millisecond
--- a/io/entry/view.go
+++ b/io/entry/view.go
@@ -106,8 +106,11 @@
 	// FindStream looks for the record of a stream. The answer, sent through the channel
 	// once, is empty if no instance that was asked has one.
 	FindStream(id, service string) <-chan resume.Record
-	// Crashed reports that a server was lost with a request in flight.
-	Crashed(fpr marks.Fingerprint, server string)
+	// Crashed reports that a server was lost with a request in flight. ended is set if it
+	// refuses new connections.
+	Crashed(fpr marks.Fingerprint, server string, ended bool)
+	// ServerAnswered reports that a server answered a request that was sent at a time.
+	ServerAnswered(server string, sent time.Time)
 	// ObserveResponse passes on what a response says of its server.
 	ObserveResponse(ent stock.Entry, ans call.ResponseHead)
 	// MaySend returns a *pause.Error if the server accepts no requests from
--- a/io/mesh/message.go
+++ b/io/mesh/message.go
@@ -101,11 +101,16 @@
 	// Decision answers Submit.
 	Decision struct{ sched.Decision }
 	// Crash reports a backend server that was lost with a request in flight.
-	// Request is the request's fingerprint.
+	// Request is the request's fingerprint. Ended is set if the server refused new
+	// connections. At is the time by this instance's clock.
 	Crash struct {
 		Request uint64
 		Server  string
+		Ended   bool
+		At      time.Time
 	}
+	// Answered reports that servers answered which were taken for crashed.
+	Answered struct{ Servers []string }
 	// HeldResults reports results that a stage server holds for a request of the
 	// receiver.
 	HeldResults struct{ sched.HeldResults }
@@ -157,6 +162,7 @@
 	_ Message = Retry{}
 	_ Message = Decision{}
 	_ Message = Crash{}
+	_ Message = Answered{}
 	_ Message = HeldResults{}
 	_ Message = Limits{}
 	_ Message = Usages{}
@@ -411,8 +417,19 @@
 	}}}
 }
 
-func (msg Crash) encode(time.Time) *wire.Envelope {
-	return &wire.Envelope{Body: &wire.Envelope_Crash{Crash: &wire.Crash{Request: msg.Request, Server: msg.Server}}}
+func (msg Crash) encode(now time.Time) *wire.Envelope {
+	return &wire.Envelope{Body: &wire.Envelope_Crash{Crash: &wire.Crash{Request: msg.Request, Server: msg.Server, Ended: msg.Ended, Age: now.Sub(msg.At).Microseconds()}}}
+}
+
+// toCrash returns a crash by this instance's clock. A build that sends no age reports a crash
+// at once.
+func toCrash(now time.Time, crs *wire.Crash) Crash {
+	age := time.Duration(max(0, crs.GetAge())) * time.Microsecond
+	return Crash{Request: crs.GetRequest(), Server: crs.GetServer(), Ended: crs.GetEnded(), At: now.Add(-age)}
+}
+
+func (msg Answered) encode(time.Time) *wire.Envelope {
+	return &wire.Envelope{Body: &wire.Envelope_Answered{Answered: &wire.Answered{Servers: msg.Servers}}}
 }
 
 func (msg HeldResults) encode(now time.Time) *wire.Envelope {
@@ -494,7 +511,9 @@
 			Standing: toStanding(ver.GetStanding()),
 		}}
 	case *wire.Envelope_Crash:
-		return Crash{Request: bod.Crash.GetRequest(), Server: bod.Crash.GetServer()}
+		return toCrash(now, bod.Crash)
+	case *wire.Envelope_Answered:
+		return Answered{Servers: bod.Answered.GetServers()}
 	case *wire.Envelope_Limits:
 		return toLimits(bod.Limits)
 	case *wire.Envelope_Usages:
--- a/io/mesh/relay.go
+++ b/io/mesh/relay.go
@@ -64,6 +64,8 @@
 	RelayUnlisted
 	// RelayClosed means that the server closed the connection.
 	RelayClosed
+	// RelayEnded means that the server closed the connection and refuses new ones.
+	RelayEnded
 )
 
 // String returns the cause as it is named in logs.
@@ -81,6 +83,8 @@
 		return "unlisted"
 	case RelayClosed:
 		return "closed"
+	case RelayEnded:
+		return "ended"
 	}
 	return "failed"
 }
@@ -102,10 +106,14 @@
 	return "relay " + err.Relay + ": " + err.Cause.String() + ": " + err.Text
 }
 
-// Unwrap returns io.ErrUnexpectedEOF if the server closed the connection.
+// Unwrap returns io.ErrUnexpectedEOF if the server closed the connection, and a
+// *call.EndedError if it has ended.
 func (err *RelayError) Unwrap() error {
-	if err.Cause == RelayClosed {
+	switch err.Cause {
+	case RelayClosed:
 		return io.ErrUnexpectedEOF
+	case RelayEnded:
+		return &call.EndedError{}
 	}
 	return nil
 }
@@ -309,7 +317,7 @@
 }
 
 func toRelayError(fai *wire.RelayFailure) *RelayError {
-	return &RelayError{Sent: fai.GetSent(), Cause: RelayCause(min(fai.GetCause(), uint32(RelayClosed))), Text: fai.GetText(), Remaining: time.Duration(fai.GetLeft()) * time.Microsecond}
+	return &RelayError{Sent: fai.GetSent(), Cause: RelayCause(min(fai.GetCause(), uint32(RelayEnded))), Text: fai.GetText(), Remaining: time.Duration(fai.GetLeft()) * time.Microsecond}
 }
 
 // Read reads the body.
