The evidence against a request is looked at before each send

What callers saw: a copy of a crashing request that had arrived before the third crash was sent after it, once its stages were done.

Cause: the platform's path looked at the evidence on arrival alone. Evidence: budget-crashing-request-that-waited.script, red before: the copies that waited 1.1 s for a stage went out and crashed two more servers.

The check stands where every send passes: when the connection is open, direct, through a relay, retried, resumed or moved. A request that still waits for its coordinator's decision is refused as soon as the evidence arrives, which also saves its stage work.

--- a/core/marks/marks.go
+++ b/core/marks/marks.go
@@ -61,6 +61,9 @@
 	return Fingerprint(dig.Sum64())
 }
 
+// RetryAfter is the retry delay for requests that are refused.
+const RetryAfter = 30 * time.Second
+
 // RefusedError is the error of a request that is not sent because requests like it crash
 // servers.
 type RefusedError struct{ Fingerprint Fingerprint }
--- a/core/marks/table.go
+++ b/core/marks/table.go
@@ -163,7 +163,8 @@
 // expired crashes.
 func (tab *Table) With(now time.Time, crs Crash, prints ...Fingerprint) *Table {
 	nxt := tab.clone(now)
-	if len(prints) > 0 && !(crs.ended && nxt.answered[crs.server].After(crs.at)) {
+	wrong := crs.ended && nxt.answered[crs.server].After(crs.at)
+	if len(prints) > 0 && !wrong {
 		crs = nxt.record(crs)
 		for _, fpr := range prints {
 			evi := nxt.prints[fpr]
--- a/io/edge/crashes.go
+++ b/io/edge/crashes.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"lovagestream/core/marks"
+	"lovagestream/core/sched"
 	"lovagestream/core/stock"
 	"lovagestream/io/lines"
 	"lovagestream/io/mesh"
@@ -24,6 +25,7 @@
 	ctl.marks = ctl.marks.With(now, crs, marks.Fingerprint(evt.msg.Request))
 	ctl.rememberCrashed(now, evt.msg.Server)
 	ctl.viewStale = true
+	ctl.refuseWaiting(now)
 	if evt.local {
 		ctl.log.Log("server-lost-with-request", lines.Fields{"server": evt.msg.Server, "print": evt.msg.Request, "ended": evt.msg.Ended})
 	}
@@ -79,6 +81,18 @@
 	}
 }
 
+// refuseWaiting refuses the requests without a decision that turn out to crash servers.
+func (ctl *Control) refuseWaiting(now time.Time) {
+	for id, req := range ctl.pending {
+		if req.placed || req.movingFrom != "" || !ctl.marks.Refused(now, marks.Fingerprint(req.spec.Fingerprint)) {
+			continue
+		}
+		delete(ctl.pending, id)
+		ctl.withdraw(now, req)
+		req.reply <- sched.Decision{Key: req.spec.Key, Outcome: sched.Refused, Reason: "crashes-servers", RetryAfter: marks.RetryAfter}
+	}
+}
+
 // noteRestarts records the servers that have ended, as a record shows: its server started in
 // their place, or its entry lapsed.
 func (ctl *Control) noteRestarts(now time.Time, rec stock.Record, got stock.Change) {
--- a/io/entry/crash.go
+++ b/io/entry/crash.go
@@ -18,6 +18,14 @@
 // others take less.
 const crashCheckTime = 700 * time.Millisecond
 
+// checkMarks returns a *marks.RefusedError if requests like this one crash servers.
+func (arq *activeRequest) checkMarks() error {
+	if arq.srv.ctl.View().Marks.Refused(arq.srv.clk.Now(), arq.fpr) {
+		return &marks.RefusedError{Fingerprint: arq.fpr}
+	}
+	return nil
+}
+
 // reportCrash reports a server that closed the connection with the request in
 // flight, unless the request was canceled.
 func (arq *activeRequest) reportCrash(ctx context.Context, ent stock.Entry, err error) {
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -284,8 +284,8 @@
 	arq.service = arq.rou.PickService(call.HashFraction(first))
 	arq.setDeadlines()
 	arq.fpr = marks.NewFingerprint(account, arq.req.Target, arq.req.Body)
-	if arq.viw.Marks.Refused(arq.arrived, arq.fpr) {
-		return arq.refuse("crashes-servers", crashRetryAfter)
+	if arq.checkMarks() != nil {
+		return arq.refuse(reasonCrashes, marks.RetryAfter)
 	}
 	if num := len(arq.viw.Marks.Crashes(arq.fpr)); num >= marks.CrashLimit {
 		arq.srv.log.Log("crashes-acquitted", lines.Fields{"id": arq.req.ID, "print": uint64(arq.fpr), "crashes": num})
@@ -307,9 +307,6 @@
 // serve at once.
 const stoppingRetryAfter = 20 * time.Millisecond
 
-// crashRetryAfter is the retry delay for requests that crashed several servers.
-const crashRetryAfter = 30 * time.Second
-
 func (arq *activeRequest) setDeadlines() {
 	wait := defaultTimeout
 	if arq.rou.Timeout > 0 {
@@ -440,7 +437,7 @@
 	fwd := conns.Request{
 		Server: ent.ID, Service: arq.service, Zone: ent.Zone, Address: ent.Address, Method: arq.req.Method, Target: arq.req.Target, Host: arq.req.Host,
 		Fields: arq.srv.cdc.ForwardFields(arq.req, ext), Body: arq.req.Body,
-		MaxConns: arq.srv.ctl.View().Connections(arq.service), Check: func() error { return arq.srv.ctl.MaySend(ent.ID) },
+		MaxConns: arq.srv.ctl.View().Connections(arq.service), Check: func() error { return arq.maySend(ent) },
 		Abort: !arq.rou.AtMostOnce(), Deadline: arq.deadline,
 	}
 	sent := arq.srv.clk.Now()
@@ -458,6 +455,14 @@
 	return rep, err
 }
 
+// maySend is the last check before a send. The request may have waited since it arrived.
+func (arq *activeRequest) maySend(ent stock.Entry) error {
+	if err := arq.checkMarks(); err != nil {
+		return err
+	}
+	return arq.srv.ctl.MaySend(ent.ID)
+}
+
 // spec returns the description of the request for the coordinator.
 func (arq *activeRequest) spec() sched.Spec {
 	spc := sched.Spec{
--- a/io/entry/generate.go
+++ b/io/entry/generate.go
@@ -53,6 +53,10 @@
 		if !last.retryable || last.mayHaveRun && arq.attempts >= arq.rou.MaxAttempts || arq.deadline.Sub(arq.srv.clk.Now()) < minRemaining {
 			break
 		}
+		if arq.checkMarks() != nil {
+			last.reason = reasonCrashes
+			break
+		}
 		spc.Avoid = append(spc.Avoid, dec.Server.ID)
 		spc.Retry, spc.Unsent, spc.Version = true, last.unsent, arq.stream.Version
 		decision = arq.srv.ctl.Retry(spc, last.engineOutcome, last.reason == reasonInputGone)
@@ -151,6 +155,10 @@
 	if arq.deadline.Sub(arq.srv.clk.Now()) < minRemaining {
 		return sendResult{outcome{reason: "no-time-left"}, place.Done}
 	}
+	if err := arq.checkMarks(); err != nil {
+		out, _ := notSent(&conns.SendError{Address: ent.Address, Cause: err})
+		return sendResult{out, place.Done}
+	}
 	if !arq.mayServe(ent) {
 		return sendResult{outcome{retryable: true, unsent: true, reason: reasonOtherVersion}, place.Done}
 	}
--- a/io/entry/notsent.go
+++ b/io/entry/notsent.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/pkg/errors"
 
+	"lovagestream/core/marks"
 	"lovagestream/core/pause"
 	"lovagestream/core/place"
 	"lovagestream/io/conns"
@@ -20,6 +21,9 @@
 	// reasonPathLost is the reason of requests that were given up, since the path was
 	// lost while they waited for a response.
 	reasonPathLost = "path-lost"
+	// reasonCrashes is the reason of requests that are refused since requests like them
+	// crash servers.
+	reasonCrashes = "crashes-servers"
 )
 
 // notSent returns the outcome of a request of which no byte was sent, and false
@@ -32,7 +36,10 @@
 	out := outcome{retryable: true, unsent: true, reason: reasonNotReached, err: err}
 	var lim *conns.ConnLimitError
 	var pau *pause.Error
+	var ref *marks.RefusedError
 	switch {
+	case errors.As(err, &ref):
+		out.retryable, out.reason, out.retryAfter = false, reasonCrashes, marks.RetryAfter
 	case isPathLost(err):
 		out.reason = reasonNoPath
 	case errors.As(err, &lim):
@@ -62,7 +69,7 @@
 // notAttempted reports whether the outcome says nothing about the server.
 func (out *outcome) notAttempted() bool {
 	switch out.reason {
-	case reasonConnLimit, reasonPaused, reasonNoPath, reasonPathLost:
+	case reasonConnLimit, reasonPaused, reasonNoPath, reasonPathLost, reasonCrashes:
 		return true
 	}
 	return false
