A complete answer clears the requests with its fingerprint

What callers saw: a sound request that many callers send alike was refused for ten minutes after it had been on board at three crashes of others.

Cause: evidence only grew; nothing that was answered since counted for a request.

A complete answer of a request against which crashes count withdraws them, at all instances (message sound, after a drawn delay, so that few of those that see one report it). A stream shows it once it has gone on for half a second, or is complete.

--- a/core/marks/table.go
+++ b/core/marks/table.go
@@ -133,6 +133,12 @@
 // Suspected reports whether a crash counts against a fingerprint.
 func (tab *Table) Suspected(fpr Fingerprint) bool { return len(tab.Crashes(fpr)) > 0 }
 
+// SuspectedBefore reports whether a crash before a time counts against a fingerprint.
+func (tab *Table) SuspectedBefore(fpr Fingerprint, at time.Time) bool {
+	crashes := tab.Crashes(fpr)
+	return len(crashes) > 0 && crashes[0].at.Before(at)
+}
+
 // clone returns a copy without expired evidence.
 func (tab *Table) clone(now time.Time) *Table {
 	nxt := &Table{prints: map[Fingerprint]evidence{}, restarted: map[string]bool{}, answered: map[string]time.Time{}}
--- a/io/edge/crashes.go
+++ b/io/edge/crashes.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"lovagestream/core/marks"
@@ -50,6 +51,54 @@
 	ctl.post(evCrash{msg: mesh.Crash{Request: uint64(fpr), Server: server, Ended: ended, At: ctl.clk.Now()}, local: true})
 }
 
+// soundDelay bounds the delay until peers hear of an answer. It is drawn, so that few of the
+// instances that see one at the same time report it.
+const soundDelay = 150 * time.Millisecond
+
+type evSound struct{ prints []marks.Fingerprint }
+
+func (evt evSound) apply(ctl *Control, now time.Time) {
+	for _, fpr := range evt.prints {
+		if !ctl.marks.Suspected(fpr) {
+			continue
+		}
+		ctl.marks = ctl.marks.WithSound(now, now, fpr)
+		ctl.viewStale = true
+		if len(ctl.sounds) == 0 {
+			ctl.soundsDue = now.Add(rand.N(soundDelay))
+		}
+		ctl.sounds[uint64(fpr)] = now
+	}
+}
+
+// Sound reports that a request with these fingerprints was answered.
+func (ctl *Control) Sound(prints ...marks.Fingerprint) { ctl.post(evSound{prints: prints}) }
+
+// handleSound handles a peer's report of answers.
+func (ctl *Control) handleSound(now time.Time, from string, msg mesh.Sound) {
+	news := mesh.Sound{Prints: map[uint64]time.Time{}}
+	for prt, at := range msg.Prints {
+		delete(ctl.sounds, prt)
+		if fpr := marks.Fingerprint(prt); ctl.marks.SuspectedBefore(fpr, at) {
+			ctl.marks = ctl.marks.WithSound(now, at, fpr)
+			ctl.viewStale = true
+			news.Prints[prt] = at
+		}
+	}
+	if len(news.Prints) > 0 {
+		ctl.spread(now, from, news)
+	}
+}
+
+// sendSounds reports answers to the peers.
+func (ctl *Control) sendSounds(now time.Time) {
+	if len(ctl.sounds) == 0 || now.Before(ctl.soundsDue) {
+		return
+	}
+	ctl.spread(now, "", mesh.Sound{Prints: ctl.sounds})
+	ctl.sounds = map[uint64]time.Time{}
+}
+
 type evAnswered struct {
 	server string
 	sent   time.Time
--- a/io/edge/duties.go
+++ b/io/edge/duties.go
@@ -45,6 +45,7 @@
 	ctl.sendAnswers(now)
 	ctl.shareStreams(now)
 	ctl.endLookups(now)
+	ctl.sendSounds(now)
 	if now.Sub(ctl.heartbeatAt) >= ctl.mem.HeartbeatInterval() {
 		ctl.heartbeatAt = now
 		ctl.runPeriodic(now)
--- a/io/entry/crash.go
+++ b/io/entry/crash.go
@@ -42,6 +42,17 @@
 	arq.srv.poo.CheckEnded(arq.service, ent.Address, rpt.checked)
 }
 
+// soundAfter is how long after its first event a stream shows that its request crashes no
+// servers.
+const soundAfter = 500 * time.Millisecond
+
+// reportSound reports that the request was answered, if crashes count against it.
+func (arq *activeRequest) reportSound() {
+	if arq.srv.ctl.View().Marks.Suspected(arq.fpr) {
+		arq.srv.ctl.Sound(arq.fpr)
+	}
+}
+
 // crashReport is the report of a server that may have crashed under a request.
 type crashReport struct {
 	srv     *Server
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -147,6 +147,7 @@
 	ctl.ended = append(ctl.ended, out)
 }
 func (ctl *testControl) WrongServer(stock.Entry)          {}
+func (ctl *testControl) Sound(...marks.Fingerprint)       {}
 func (ctl *testControl) ServerAnswered(string, time.Time) {}
 func (ctl *testControl) Crashed(_ marks.Fingerprint, server string, _ bool) {
 	ctl.mu.Lock()
--- a/io/entry/generate.go
+++ b/io/entry/generate.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -252,15 +253,20 @@
 	stm.events.Restart()
 	flush := http.NewResponseController(arq.wri)
 	buf := make([]byte, readBufferSize)
-	first := true
+	first, sound := true, false
+	var begun time.Time
 	for {
 		num, err := rep.Read(buf)
 		if num > 0 {
 			if first {
-				first = false
+				first, begun = false, arq.srv.clk.Now()
 				arq.srv.ctl.Began(arq.req.ID)
 				arq.recordFirstEvent(ent)
 			}
+			if !sound && stm.status == http.StatusOK && arq.srv.clk.Now().Sub(begun) >= soundAfter {
+				sound = true
+				arq.reportSound()
+			}
 			if perr := stm.forward(ent, buf[:num], resumable); perr != nil {
 				return outcome{mayHaveRun: true, reason: "caller-left", err: perr}, place.Done
 			}
@@ -270,6 +276,9 @@
 			err = io.ErrUnexpectedEOF
 		}
 		if errors.Is(err, io.EOF) {
+			if !sound && !first && stm.status == http.StatusOK {
+				arq.reportSound()
+			}
 			return stm.endOfStream()
 		}
 		if err != nil {
--- a/io/entry/plain.go
+++ b/io/entry/plain.go
@@ -365,4 +365,7 @@
 	arq.finish(rep.ResponseHead.Status, "answered", nil)
 	arq.wri.WriteHeader(rep.ResponseHead.Status)
 	_, _ = arq.wri.Write(body)
+	if rep.ResponseHead.Status < http.StatusMultipleChoices {
+		arq.reportSound()
+	}
 }
--- a/io/entry/view.go
+++ b/io/entry/view.go
@@ -109,6 +109,8 @@
 	// Crashed reports that a server was lost with a request in flight. ended is set if it
 	// refuses new connections.
 	Crashed(fpr marks.Fingerprint, server string, ended bool)
+	// Sound reports that a request with these fingerprints was answered.
+	Sound(prints ...marks.Fingerprint)
 	// ServerAnswered reports that a server answered a request that was sent at a time.
 	ServerAnswered(server string, sent time.Time)
 	// ObserveResponse passes on what a response says of its server.
--- a/io/mesh/message.go
+++ b/io/mesh/message.go
@@ -109,6 +109,9 @@
 		Ended   bool
 		At      time.Time
 	}
+	// Sound reports that requests with these fingerprints were answered, with the time of
+	// the last answer by this instance's clock.
+	Sound struct{ Prints map[uint64]time.Time }
 	// Answered reports that servers answered which were taken for crashed.
 	Answered struct{ Servers []string }
 	// HeldResults reports results that a stage server holds for a request of the
@@ -163,6 +166,7 @@
 	_ Message = Decision{}
 	_ Message = Crash{}
 	_ Message = Answered{}
+	_ Message = Sound{}
 	_ Message = HeldResults{}
 	_ Message = Limits{}
 	_ Message = Usages{}
@@ -428,6 +432,25 @@
 	return Crash{Request: crs.GetRequest(), Server: crs.GetServer(), Ended: crs.GetEnded(), At: now.Add(-age)}
 }
 
+func (msg Sound) encode(now time.Time) *wire.Envelope {
+	bod := &wire.Sound{}
+	for fpr, at := range msg.Prints {
+		bod.Prints = append(bod.Prints, fpr)
+		bod.Ages = append(bod.Ages, now.Sub(at).Microseconds())
+	}
+	return &wire.Envelope{Body: &wire.Envelope_Sound{Sound: bod}}
+}
+
+func toSound(now time.Time, snd *wire.Sound) Sound {
+	msg := Sound{Prints: map[uint64]time.Time{}}
+	for i, fpr := range snd.GetPrints() {
+		if i < len(snd.GetAges()) {
+			msg.Prints[fpr] = now.Add(-time.Duration(max(0, snd.GetAges()[i])) * time.Microsecond)
+		}
+	}
+	return msg
+}
+
 func (msg Answered) encode(time.Time) *wire.Envelope {
 	return &wire.Envelope{Body: &wire.Envelope_Answered{Answered: &wire.Answered{Servers: msg.Servers}}}
 }
@@ -512,6 +535,8 @@
 		}}
 	case *wire.Envelope_Crash:
 		return toCrash(now, bod.Crash)
+	case *wire.Envelope_Sound:
+		return toSound(now, bod.Sound)
 	case *wire.Envelope_Answered:
 		return Answered{Servers: bod.Answered.GetServers()}
 	case *wire.Envelope_Limits:
