Instances tell a new link which requests crash servers

What callers saw: nothing yet; a crashing request that comes at an instance that started, or was cut off, after the crashes is sent on until three more servers have crashed.

Cause: a crash was reported once, when it happened, to the peers linked then.

The table goes with the greeting of a new link: of the 256 fingerprints with the most crashes, those with two crashes at least. Known crashes cost the receiver a look each.

--- a/core/marks/table.go
+++ b/core/marks/table.go
@@ -1,6 +1,7 @@
 package marks
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sort"
@@ -81,6 +82,9 @@
 	return tab.all
 }
 
+// Restarted reports whether it is known that a server ended.
+func (tab *Table) Restarted(server string) bool { return tab != nil && tab.restarted[server] }
+
 // CrashedBefore reports whether a crash is one that was recorded before a time: a
 // request that was sent later was not in flight at it.
 func (tab *Table) CrashedBefore(crs Crash, at time.Time) bool {
@@ -139,6 +143,33 @@
 	return len(crashes) > 0 && crashes[0].at.Before(at)
 }
 
+// Report is a crash that counts against a fingerprint.
+type Report struct {
+	Fingerprint Fingerprint
+	Crash       Crash
+}
+
+// Reports returns the crashes for an instance that knows of none: those of the MaxBatch
+// fingerprints with the most crashes, the newest first among equal ones. One crash alone is
+// little evidence, and left out.
+func (tab *Table) Reports() []Report {
+	if tab == nil {
+		return nil
+	}
+	prints := slices.DeleteFunc(slices.Collect(maps.Keys(tab.prints)), func(fpr Fingerprint) bool { return len(tab.Crashes(fpr)) < 2 })
+	slices.SortFunc(prints, func(one, two Fingerprint) int {
+		left, right := tab.prints[one], tab.prints[two]
+		return cmp.Or(cmp.Compare(len(right.crashes), len(left.crashes)), right.newest().Compare(left.newest()), cmp.Compare(one, two))
+	})
+	var out []Report
+	for _, fpr := range prints[:min(len(prints), MaxBatch)] {
+		for _, crs := range tab.prints[fpr].crashes {
+			out = append(out, Report{Fingerprint: fpr, Crash: crs})
+		}
+	}
+	return out
+}
+
 // clone returns a copy without expired evidence.
 func (tab *Table) clone(now time.Time) *Table {
 	nxt := &Table{prints: map[Fingerprint]evidence{}, restarted: map[string]bool{}, answered: map[string]time.Time{}}
@@ -168,23 +199,46 @@
 // With returns a table with a crash added to some fingerprints and without
 // expired crashes.
 func (tab *Table) With(now time.Time, crs Crash, prints ...Fingerprint) *Table {
+	var list []Report
+	for _, fpr := range prints {
+		list = append(list, Report{Fingerprint: fpr, Crash: crs})
+	}
+	return tab.WithReports(now, list)
+}
+
+// WithReports returns a table with crashes added and without expired ones.
+func (tab *Table) WithReports(now time.Time, list []Report) *Table {
 	nxt := tab.clone(now)
-	wrong := crs.ended && nxt.answered[crs.server].After(crs.at)
-	if len(prints) > 0 && !wrong {
-		crs = nxt.record(crs)
-		for _, fpr := range prints {
-			evi := nxt.prints[fpr]
-			if crs.at.After(evi.soundAt) {
-				evi.crashes = insert(evi.crashes, crs, maxOwnCrashes)
-				nxt.prints[fpr] = evi
-			}
-		}
+	for _, rep := range list {
+		nxt.add(rep)
 	}
 	nxt.trim()
 	nxt.judge()
 	return nxt
 }
 
+// Knows reports whether the table has the crashes already, or evidence to the contrary.
+func (tab *Table) Knows(list []Report) bool {
+	return !slices.ContainsFunc(list, func(rep Report) bool {
+		return tab == nil || !tab.withdrawn(rep) && !contains(tab.Crashes(rep.Fingerprint), rep.Crash)
+	})
+}
+
+// withdrawn reports whether a later answer shows that a crash counts for nothing.
+func (tab *Table) withdrawn(rep Report) bool {
+	crs := rep.Crash
+	return crs.ended && tab.answered[crs.server].After(crs.at) || !crs.at.After(tab.prints[rep.Fingerprint].soundAt)
+}
+
+func (tab *Table) add(rep Report) {
+	if tab.withdrawn(rep) {
+		return
+	}
+	evi := tab.prints[rep.Fingerprint]
+	evi.crashes = insert(evi.crashes, tab.record(rep.Crash), maxOwnCrashes)
+	tab.prints[rep.Fingerprint] = evi
+}
+
 // record adds a crash to those of all servers. It returns the first report of it.
 func (tab *Table) record(crs Crash) Crash {
 	for _, old := range tab.all {
--- a/io/edge/antientropy.go
+++ b/io/edge/antientropy.go
@@ -430,6 +430,7 @@
 	if list := ctl.limits.reports(); len(list) > 0 {
 		ctl.lnk.Send(mem.Address, mesh.Limits{List: list})
 	}
+	ctl.sendCrashes(mem.Address)
 	if ctl.mem.AnnouncesNewcomer(now, mem.Zone) {
 		ctl.sync.joined = append(ctl.sync.joined, mem)
 	}
--- a/io/edge/crashes.go
+++ b/io/edge/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"lovagestream/core/marks"
@@ -19,20 +20,43 @@
 }
 
 func (evt evCrash) apply(ctl *Control, now time.Time) {
-	crs := marks.NewCrash(evt.msg.Server, evt.msg.At)
-	if evt.msg.Ended {
-		crs = crs.WithEnd()
-	}
-	ctl.marks = ctl.marks.With(now, crs, marks.Fingerprint(evt.msg.Request))
-	ctl.rememberCrashed(now, evt.msg.Server)
-	ctl.viewStale = true
-	ctl.refuseWaiting(now)
+	ctl.addCrashes(now, evt.msg)
 	if evt.local {
 		ctl.log.Log("server-lost-with-request", lines.Fields{"server": evt.msg.Server, "print": evt.msg.Request, "ended": evt.msg.Ended})
 	}
 	ctl.spread(now, evt.from, evt.msg)
 }
 
+// addCrashes adds crashes to the evidence.
+func (ctl *Control) addCrashes(now time.Time, list ...mesh.Crash) {
+	var reports []marks.Report
+	for _, msg := range list {
+		crs := marks.NewCrash(msg.Server, msg.At)
+		if msg.Ended {
+			crs = crs.WithEnd()
+		}
+		reports = append(reports, marks.Report{Fingerprint: marks.Fingerprint(msg.Request), Crash: crs})
+	}
+	if ctl.marks.Knows(reports) {
+		return
+	}
+	ctl.marks = ctl.marks.WithReports(now, reports)
+	ctl.rememberCrashed(now)
+	ctl.viewStale = true
+	ctl.refuseWaiting(now)
+}
+
+// sendCrashes sends the evidence to a new peer: it may have started or been cut off since.
+func (ctl *Control) sendCrashes(peer string) {
+	msg := mesh.Crashes{}
+	for _, rep := range ctl.marks.Reports() {
+		msg.List = append(msg.List, mesh.Crash{Request: uint64(rep.Fingerprint), Server: rep.Crash.Server(), Ended: rep.Crash.Ended(), At: rep.Crash.At()})
+	}
+	if len(msg.List) > 0 {
+		ctl.lnk.Send(peer, msg)
+	}
+}
+
 // spread sends a message about crashes to all peers, except to the one that it is from. Only
 // hubs forward, and only messages of instances that link to hubs only.
 func (ctl *Control) spread(now time.Time, from string, msg mesh.Message) {
@@ -159,23 +183,31 @@
 	}
 }
 
-// rememberCrashed keeps the entry of a server that crashed, as long as its crash is known.
-func (ctl *Control) rememberCrashed(now time.Time, server string) {
-	known := map[string]bool{server: true}
+// rememberCrashed keeps the entries of the servers that crashed, as long as the crashes are
+// known.
+func (ctl *Control) rememberCrashed(now time.Time) {
+	old := ctl.crashed
+	ctl.crashed = map[string]stock.Entry{}
+	var unknown []string
 	for _, crs := range ctl.marks.Crashed() {
-		known[crs.Server()] = true
-	}
-	for id := range ctl.crashed {
-		if !known[id] {
-			delete(ctl.crashed, id)
+		if ent, have := old[crs.Server()]; have {
+			ctl.crashed[crs.Server()] = ent
+		} else if !ctl.marks.Restarted(crs.Server()) {
+			unknown = append(unknown, crs.Server())
 		}
 	}
+	if len(unknown) == 0 || ctl.registry.Len() == 0 {
+		return
+	}
 	for _, rec := range ctl.registry.All() {
-		if rec.Entry.Start() == server && !rec.Removed {
-			ctl.crashed[server] = rec.Entry
-			return
+		if start := rec.Entry.Start(); !rec.Removed && slices.Contains(unknown, start) {
+			ctl.crashed[start] = rec.Entry
+		}
+	}
+	for _, srv := range unknown {
+		if _, have := ctl.crashed[srv]; !have {
+			// Its entry has lapsed, or names a later start.
+			ctl.marks = ctl.marks.WithRestart(now, srv)
 		}
 	}
-	// Its entry has lapsed, or names a later start.
-	ctl.marks = ctl.marks.WithRestart(now, server)
 }
--- a/io/edge/events.go
+++ b/io/edge/events.go
@@ -313,6 +313,8 @@
 		ctl.handleSpeeds(now, msg)
 	case mesh.Crash:
 		evCrash{msg: msg, from: evt.from}.apply(ctl, now)
+	case mesh.Crashes:
+		ctl.addCrashes(now, msg.List...)
 	case mesh.Sound:
 		ctl.handleSound(now, evt.from, msg)
 	case mesh.Answered:
--- a/io/mesh/message.go
+++ b/io/mesh/message.go
@@ -109,6 +109,8 @@
 		Ended   bool
 		At      time.Time
 	}
+	// Crashes has the crashes that the sender knows of, for a new link.
+	Crashes struct{ List []Crash }
 	// Sound reports that requests with these fingerprints were answered, with the time of
 	// the last answer by this instance's clock.
 	Sound struct{ Prints map[uint64]time.Time }
@@ -167,6 +169,7 @@
 	_ Message = Crash{}
 	_ Message = Answered{}
 	_ Message = Sound{}
+	_ Message = Crashes{}
 	_ Message = HeldResults{}
 	_ Message = Limits{}
 	_ Message = Usages{}
@@ -422,7 +425,27 @@
 }
 
 func (msg Crash) encode(now time.Time) *wire.Envelope {
-	return &wire.Envelope{Body: &wire.Envelope_Crash{Crash: &wire.Crash{Request: msg.Request, Server: msg.Server, Ended: msg.Ended, Age: now.Sub(msg.At).Microseconds()}}}
+	return &wire.Envelope{Body: &wire.Envelope_Crash{Crash: msg.wire(now)}}
+}
+
+func (msg Crash) wire(now time.Time) *wire.Crash {
+	return &wire.Crash{Request: msg.Request, Server: msg.Server, Ended: msg.Ended, Age: now.Sub(msg.At).Microseconds()}
+}
+
+func (msg Crashes) encode(now time.Time) *wire.Envelope {
+	bod := &wire.Crashes{}
+	for _, crs := range msg.List {
+		bod.List = append(bod.List, crs.wire(now))
+	}
+	return &wire.Envelope{Body: &wire.Envelope_Crashes{Crashes: bod}}
+}
+
+func toCrashes(now time.Time, list []*wire.Crash) Crashes {
+	msg := Crashes{}
+	for _, crs := range list {
+		msg.List = append(msg.List, toCrash(now, crs))
+	}
+	return msg
 }
 
 // toCrash returns a crash by this instance's clock. A build that sends no age reports a crash
@@ -535,6 +558,8 @@
 		}}
 	case *wire.Envelope_Crash:
 		return toCrash(now, bod.Crash)
+	case *wire.Envelope_Crashes:
+		return toCrashes(now, bod.Crashes.GetList())
 	case *wire.Envelope_Sound:
 		return toSound(now, bod.Sound)
 	case *wire.Envelope_Answered:
