Parts of prompts that crash engines are found and refused

What callers saw: requests with one part in their prompts crash engine after engine, 36 ends within 35 s, and take the streams of others with them.

Cause: evidence was kept by whole request, and no two of these are alike.

One table holds the evidence against requests and parts. A crash counts against each part of the requests on board whose answers hadn't begun, or just so. An answer that goes on for half a second clears its parts, which are common ones after milliseconds. Crashes at the same moment count once against a part: a power loss ends many engines with common parts on board. Of fingerprints with equal crashes the most specific is the cause; what all requests with it had in common besides, and nobody has answered since, must be there too for a refusal, so a bad part's neighbours are served even if nobody sent them alone before.

Ruled out: suspecting all requests on board (parts of long streams are on board at several crashes before one of them ends).

--- a/core/marks/judge.go
+++ b/core/marks/judge.go
@@ -9,13 +9,18 @@
 // which are down for a second or two at a time. Each crash has one cause, but also other
 // requests on board, and around it others of the poison requests crash other servers.
 
+// Load pattern: requests with one prompt part, no two alike, crash one model server after the
+// other. Each crash has one cause, but the other parts of these requests and those of sound
+// ones are on board as well, the first parts of prompts at almost each crash.
+
 // judge decides which fingerprints are refused.
 //
 // The fingerprint with the most crashes is judged first, and explains them: they count no
-// more against the other requests on board, nor as crashes of a common cause. Equal ones
-// are judged alike.
+// more against the others on board, nor as crashes of a common cause. Among equal ones the
+// most specific is taken, then the one that was seen in the most different requests; those
+// that are equal in all are judged alike.
 func (tab *Table) judge() {
-	tab.refused = map[Fingerprint]bool{}
+	tab.refused = map[Fingerprint][]Fingerprint{}
 	explained := map[Crash]bool{}
 	for tab.judgeNext(explained) {
 	}
@@ -27,10 +32,10 @@
 	most := 0
 	var next []Fingerprint
 	for fpr, evi := range tab.prints {
-		if tab.refused[fpr] || len(evi.crashes) < CrashLimit {
+		if _, have := tab.refused[fpr]; have || len(evi.crashes) < CrashLimit {
 			continue
 		}
-		num := unexplained(evi.crashes, explained)
+		num := evi.unexplained(explained)
 		if num < max(CrashLimit, most) || tab.unrelated(evi.crashes, explained) > CrashLimit {
 			continue
 		}
@@ -39,8 +44,9 @@
 		}
 		next = append(next, fpr)
 	}
+	next = tab.mostSpecific(next)
 	for _, fpr := range next {
-		tab.refused[fpr] = true
+		tab.refused[fpr] = tab.conditions(fpr)
 	}
 	for _, fpr := range next {
 		for _, crs := range tab.prints[fpr].crashes {
@@ -50,19 +56,75 @@
 	return len(next) > 0
 }
 
-func unexplained(crashes []Crash, explained map[Crash]bool) int {
+// mostSpecific returns the fingerprints that no other of them explains better: one that all
+// requests with the other have, but not the other way round, is only more common.
+func (tab *Table) mostSpecific(list []Fingerprint) []Fingerprint {
+	wholes := 0
+	specific := slices.DeleteFunc(slices.Clone(list), func(fpr Fingerprint) bool {
+		return slices.ContainsFunc(list, func(oth Fingerprint) bool {
+			return slices.Contains(tab.prints[oth].with, fpr) && !slices.Contains(tab.prints[fpr].with, oth)
+		})
+	})
+	for _, fpr := range specific {
+		wholes = max(wholes, len(tab.prints[fpr].wholes))
+	}
+	return slices.DeleteFunc(specific, func(fpr Fingerprint) bool { return len(tab.prints[fpr].wholes) < wholes })
+}
+
+// conditions returns the fingerprints that all requests had which crashed servers, besides
+// the given one, without those that were answered since: any of them may be the cause.
+func (tab *Table) conditions(fpr Fingerprint) []Fingerprint {
+	evi := tab.prints[fpr]
+	return slices.DeleteFunc(slices.Clone(evi.with), func(oth Fingerprint) bool {
+		return !tab.prints[oth].soundAt.Before(evi.crashes[0].at)
+	})
+}
+
+// unexplained counts the crashes that nothing else explains. Of a part's crashes, those at
+// the same time count once.
+func (evi evidence) unexplained(explained map[Crash]bool) int {
 	num := 0
-	for _, crs := range crashes {
-		if !explained[crs] {
-			num++
+	var last time.Time
+	for _, crs := range evi.crashes {
+		if explained[crs] || evi.part && num > 0 && crs.at.Sub(last) < partSpacing {
+			continue
 		}
+		num++
+		last = crs.at
 	}
 	return num
 }
 
-// Refused reports whether a request is refused.
+// Refused reports whether a request without known parts is refused.
 func (tab *Table) Refused(now time.Time, fpr Fingerprint) bool {
-	return tab != nil && tab.refused[fpr] && len(unexpired(now, tab.prints[fpr].crashes)) >= CrashLimit
+	_, refused := tab.Cause(now, Request{fpr})
+	return refused
+}
+
+// Cause returns the fingerprint for which a request is refused, and false if it is not.
+func (tab *Table) Cause(now time.Time, req Request) (Fingerprint, bool) {
+	if tab == nil || len(tab.refused) == 0 {
+		return 0, false
+	}
+	for _, fpr := range req {
+		conditions, have := tab.refused[fpr]
+		if have && len(unexpired(now, tab.prints[fpr].crashes)) >= CrashLimit && containsAll(req, conditions) {
+			return fpr, true
+		}
+	}
+	return 0, false
+}
+
+// Refusals returns the number of fingerprints that are refused.
+func (tab *Table) Refusals() int {
+	if tab == nil {
+		return 0
+	}
+	return len(tab.refused)
+}
+
+func containsAll(req Request, list []Fingerprint) bool {
+	return !slices.ContainsFunc(list, func(fpr Fingerprint) bool { return !slices.Contains(req, fpr) })
 }
 
 // Implicated reports whether the evidence implicates a request: it was in
--- a/core/marks/marks.go
+++ b/core/marks/marks.go
@@ -1,6 +1,7 @@
 // Package marks tracks which requests were in flight at backend servers that
 // crashed, so that a request that crashes every server that runs it (a poison
-// request) is refused after a few crashes.
+// request) is refused after a few crashes, and so are all requests with a part in
+// their prompts that crashes every model server which answers it.
 //
 // A crash is evidence against each request that was in flight on the server.
 // One crash or two refuse nothing: servers crash for other causes, and most
@@ -15,6 +16,7 @@
 package marks
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -39,6 +41,12 @@
 	// commonCauseWindow is the time before and after a request's own crashes in
 	// which other crashes count as having the same cause.
 	commonCauseWindow = 2 * time.Second
+	// partSpacing is the least time between two crashes that both count against a part:
+	// servers that end at the same time have a cause of their own, and common parts are on
+	// board at most of them.
+	partSpacing = 100 * time.Millisecond
+	// maxWholes bounds the requests by which a part is known to crash servers.
+	maxWholes = 4
 	// duplicateWindow is the time within which two reports of one server count
 	// as the same crash if the server was not seen to answer in between. A
 	// server that is gone but still listed is reported again and again.
@@ -61,6 +69,25 @@
 	return Fingerprint(dig.Sum64())
 }
 
+// NewPartFingerprint returns the fingerprint of a part of prompts to a service.
+func NewPartFingerprint(service, part string) Fingerprint {
+	var dig xxhash.Digest
+	dig.Reset()
+	_, _ = dig.WriteString(service)
+	_, _ = dig.Write([]byte{0, 0})
+	_, _ = dig.WriteString(part)
+	return Fingerprint(dig.Sum64())
+}
+
+// Request holds the fingerprint of a whole request, and those of the parts of its prompt.
+type Request []Fingerprint
+
+// Whole returns the fingerprint of the whole request.
+func (req Request) Whole() Fingerprint { return req[0] }
+
+// Parts returns the fingerprints of the parts of the prompt.
+func (req Request) Parts() []Fingerprint { return req[1:] }
+
 // RetryAfter is the retry delay for requests that are refused.
 const RetryAfter = 30 * time.Second
 
@@ -68,8 +95,10 @@
 // servers.
 type RefusedError struct{ Fingerprint Fingerprint }
 
-// Error says so.
-func (err *RefusedError) Error() string { return "the request crashes servers" }
+// Error names the fingerprint, which is that of the request or of a part of its prompt.
+func (err *RefusedError) Error() string {
+	return "requests with the fingerprint " + strconv.FormatUint(uint64(err.Fingerprint), 10) + " crash servers"
+}
 
 // Crash is the failure of a backend server with a request in flight.
 type Crash struct {
--- a/core/marks/script_test.go
+++ b/core/marks/script_test.go
@@ -40,7 +40,15 @@
 	names map[string]bool
 }
 
-func printOf(name string) Fingerprint { return Fingerprint(xxhash.Sum64String(name)) }
+// request returns the request that a text names: the whole request, and the parts of its prompt
+// behind plus signs.
+func request(text string) Request {
+	var req Request
+	for _, name := range strings.Split(text, "+") {
+		req = append(req, Fingerprint(xxhash.Sum64String(name)))
+	}
+	return req
+}
 
 func (env *scriptEnv) do(t *testing.T, words []string, line string) {
 	if words[0] == "at" {
@@ -52,12 +60,12 @@
 	case "crash":
 		for _, name := range words[2:] {
 			env.names[name] = true
-			env.tab = env.tab.With(env.now, NewCrash(words[1], env.now).WithEnd(), printOf(name))
+			env.tab = env.tab.WithReports(env.now, []Report{{Request: request(name), Crash: NewCrash(words[1], env.now).WithEnd()}})
 		}
 	case "answer":
 		env.tab = env.tab.WithAnswer(env.now, words[1], env.now)
 	case "sound":
-		env.tab = env.tab.WithSound(env.now, env.now, printOf(words[1]))
+		env.tab = env.tab.WithSound(env.now, env.now, request(words[1])...)
 	case "restart":
 		for _, srv := range words[1:] {
 			env.tab = env.tab.WithRestart(env.now, srv)
@@ -65,14 +73,20 @@
 	case "crashes":
 		num, err := strconv.Atoi(words[2])
 		require.NoError(t, err, line)
-		require.Len(t, env.tab.Crashes(printOf(words[1])), num, line)
+		require.Len(t, env.tab.Crashes(request(words[1]).Whole()), num, line)
 	case "refused":
 		want := map[string]bool{}
 		for _, name := range words[1:] {
 			want[name] = true
 		}
 		for name := range env.names {
-			require.Equal(t, want[name], env.tab.Refused(env.now, printOf(name)), "%s: %s", line, name)
+			_, refused := env.tab.Cause(env.now, request(name))
+			require.Equal(t, want[name], refused, "%s: %s", line, name)
+		}
+	case "refuses", "passes":
+		for _, name := range words[1:] {
+			_, refused := env.tab.Cause(env.now, request(name))
+			require.Equal(t, words[0] == "refuses", refused, "%s: %s", line, name)
 		}
 	default:
 		require.Fail(t, "unknown command", line)
--- a/core/marks/table.go
+++ b/core/marks/table.go
@@ -19,8 +19,9 @@
 	restarted map[string]bool
 	// answered holds when servers last answered after a reported crash.
 	answered map[string]time.Time
-	// refused holds the fingerprints of requests that are refused.
-	refused map[Fingerprint]bool
+	// refused holds the fingerprints that were found to crash servers, each with those that
+	// a request must have besides to be refused, since all that crashed servers had them.
+	refused map[Fingerprint][]Fingerprint
 }
 
 // evidence is what is known of one fingerprint.
@@ -29,6 +30,40 @@
 	crashes []Crash
 	// soundAt is when a request with the fingerprint was last answered; zero if unknown.
 	soundAt time.Time
+	// part is set if the fingerprint is one of a part. wholes are some of the requests that
+	// were in flight at the crashes, with are the fingerprints that all of them have besides.
+	part   bool
+	wholes []Fingerprint
+	with   []Fingerprint
+}
+
+// add returns the evidence with a crash under a request that has the fingerprint.
+func (evi evidence) add(fpr Fingerprint, crs Crash, req Request) evidence {
+	others := slices.DeleteFunc(slices.Clone(req), func(oth Fingerprint) bool { return oth == fpr })
+	if len(evi.crashes) > 0 {
+		others = slices.DeleteFunc(others, func(oth Fingerprint) bool { return !slices.Contains(evi.with, oth) })
+	}
+	evi.with = others
+	evi.part = fpr != req.Whole()
+	if len(evi.wholes) < maxWholes && !slices.Contains(evi.wholes, req.Whole()) {
+		evi.wholes = append(slices.Clone(evi.wholes), req.Whole())
+	}
+	evi.crashes = insert(evi.crashes, crs, maxOwnCrashes)
+	return evi
+}
+
+// knows reports whether a report adds nothing to the evidence.
+func (evi evidence) knows(rep Report) bool {
+	return contains(evi.crashes, rep.Crash) && containsAll(rep.Request, evi.with) && (len(evi.wholes) == maxWholes || slices.Contains(evi.wholes, rep.Request.Whole()))
+}
+
+// withoutCrashes returns the evidence without some of its crashes.
+func (evi evidence) withoutCrashes(drop func(Crash) bool) evidence {
+	evi.crashes = slices.DeleteFunc(slices.Clone(evi.crashes), drop)
+	if len(evi.crashes) == 0 {
+		evi.wholes, evi.with = nil, nil
+	}
+	return evi
 }
 
 // newest returns the time of the newest evidence.
@@ -143,28 +178,42 @@
 	return len(crashes) > 0 && crashes[0].at.Before(at)
 }
 
-// Report is a crash that counts against a fingerprint.
+// Report is a crash with a request in flight.
 type Report struct {
-	Fingerprint Fingerprint
-	Crash       Crash
+	Request Request
+	Crash   Crash
 }
 
 // Reports returns the crashes for an instance that knows of none: those of the MaxBatch
-// fingerprints with the most crashes, the newest first among equal ones. One crash alone is
-// little evidence, and left out.
+// whole requests with the newest ones.
 func (tab *Table) Reports() []Report {
 	if tab == nil {
 		return nil
 	}
-	prints := slices.DeleteFunc(slices.Collect(maps.Keys(tab.prints)), func(fpr Fingerprint) bool { return len(tab.Crashes(fpr)) < 2 })
+	prints := slices.DeleteFunc(slices.Collect(maps.Keys(tab.prints)), func(fpr Fingerprint) bool {
+		return tab.prints[fpr].part || !tab.Suspected(fpr)
+	})
 	slices.SortFunc(prints, func(one, two Fingerprint) int {
-		left, right := tab.prints[one], tab.prints[two]
-		return cmp.Or(cmp.Compare(len(right.crashes), len(left.crashes)), right.newest().Compare(left.newest()), cmp.Compare(one, two))
+		return cmp.Or(tab.prints[two].newest().Compare(tab.prints[one].newest()), cmp.Compare(one, two))
 	})
 	var out []Report
 	for _, fpr := range prints[:min(len(prints), MaxBatch)] {
-		for _, crs := range tab.prints[fpr].crashes {
-			out = append(out, Report{Fingerprint: fpr, Crash: crs})
+		evi := tab.prints[fpr]
+		for _, crs := range evi.crashes {
+			out = append(out, Report{Request: append(Request{fpr}, evi.with...), Crash: crs})
+		}
+	}
+	return out
+}
+
+// Sounds returns when requests were answered that have one of the fingerprints in the reports.
+func (tab *Table) Sounds(list []Report) map[Fingerprint]time.Time {
+	out := map[Fingerprint]time.Time{}
+	for _, rep := range list {
+		for _, fpr := range rep.Request {
+			if at := tab.prints[fpr].soundAt; !at.IsZero() {
+				out[fpr] = at
+			}
 		}
 	}
 	return out
@@ -201,7 +250,7 @@
 func (tab *Table) With(now time.Time, crs Crash, prints ...Fingerprint) *Table {
 	var list []Report
 	for _, fpr := range prints {
-		list = append(list, Report{Fingerprint: fpr, Crash: crs})
+		list = append(list, Report{Request: Request{fpr}, Crash: crs})
 	}
 	return tab.WithReports(now, list)
 }
@@ -219,24 +268,29 @@
 
 // Knows reports whether the table has the crashes already, or evidence to the contrary.
 func (tab *Table) Knows(list []Report) bool {
-	return !slices.ContainsFunc(list, func(rep Report) bool {
-		return tab == nil || !tab.withdrawn(rep) && !contains(tab.Crashes(rep.Fingerprint), rep.Crash)
+	return tab != nil && !slices.ContainsFunc(list, func(rep Report) bool {
+		return slices.ContainsFunc(rep.Request, func(fpr Fingerprint) bool {
+			return tab.counts(rep, fpr) && !tab.prints[fpr].knows(rep)
+		})
 	})
 }
 
-// withdrawn reports whether a later answer shows that a crash counts for nothing.
-func (tab *Table) withdrawn(rep Report) bool {
+// counts reports whether a crash counts against a fingerprint of a request. A later answer may
+// show that it doesn't, and only a server that ended counts against parts.
+func (tab *Table) counts(rep Report, fpr Fingerprint) bool {
 	crs := rep.Crash
-	return crs.ended && tab.answered[crs.server].After(crs.at) || !crs.at.After(tab.prints[rep.Fingerprint].soundAt)
+	if crs.ended && tab.answered[crs.server].After(crs.at) || !crs.ended && fpr != rep.Request.Whole() {
+		return false
+	}
+	return crs.at.After(tab.prints[fpr].soundAt)
 }
 
 func (tab *Table) add(rep Report) {
-	if tab.withdrawn(rep) {
-		return
+	for _, fpr := range rep.Request {
+		if tab.counts(rep, fpr) {
+			tab.prints[fpr] = tab.prints[fpr].add(fpr, tab.record(rep.Crash), rep.Request)
+		}
 	}
-	evi := tab.prints[rep.Fingerprint]
-	evi.crashes = insert(evi.crashes, tab.record(rep.Crash), maxOwnCrashes)
-	tab.prints[rep.Fingerprint] = evi
 }
 
 // record adds a crash to those of all servers. It returns the first report of it.
@@ -263,8 +317,7 @@
 			continue
 		}
 		evi.soundAt = at
-		evi.crashes = slices.DeleteFunc(slices.Clone(evi.crashes), func(crs Crash) bool { return !crs.at.After(at) })
-		nxt.prints[fpr] = evi
+		nxt.prints[fpr] = evi.withoutCrashes(func(crs Crash) bool { return !crs.at.After(at) })
 	}
 	nxt.judge()
 	return nxt
@@ -282,8 +335,7 @@
 	nxt.all = slices.DeleteFunc(slices.Clone(nxt.all), wrong)
 	for fpr, evi := range nxt.prints {
 		if slices.ContainsFunc(evi.crashes, wrong) {
-			evi.crashes = slices.DeleteFunc(slices.Clone(evi.crashes), wrong)
-			nxt.prints[fpr] = evi
+			nxt.prints[fpr] = evi.withoutCrashes(wrong)
 		}
 	}
 	nxt.judge()
--- a/io/edge/crashes.go
+++ b/io/edge/crashes.go
@@ -8,6 +8,7 @@
 	"lovagestream/core/marks"
 	"lovagestream/core/sched"
 	"lovagestream/core/stock"
+	"lovagestream/io/entry"
 	"lovagestream/io/lines"
 	"lovagestream/io/mesh"
 )
@@ -22,7 +23,7 @@
 func (evt evCrash) apply(ctl *Control, now time.Time) {
 	ctl.addCrashes(now, evt.msg)
 	if evt.local {
-		ctl.log.Log("server-lost-with-request", lines.Fields{"server": evt.msg.Server, "print": evt.msg.Request, "ended": evt.msg.Ended})
+		ctl.log.Log("server-lost-with-request", lines.Fields{"server": evt.msg.Server, "print": evt.msg.Request, "parts": evt.msg.Parts, "ended": evt.msg.Ended})
 	}
 	ctl.spread(now, evt.from, evt.msg)
 }
@@ -35,7 +36,11 @@
 		if msg.Ended {
 			crs = crs.WithEnd()
 		}
-		reports = append(reports, marks.Report{Fingerprint: marks.Fingerprint(msg.Request), Crash: crs})
+		req := marks.Request{marks.Fingerprint(msg.Request)}
+		for _, fpr := range msg.Parts {
+			req = append(req, marks.Fingerprint(fpr))
+		}
+		reports = append(reports, marks.Report{Request: req, Crash: crs})
 	}
 	if ctl.marks.Knows(reports) {
 		return
@@ -48,13 +53,29 @@
 
 // sendCrashes sends the evidence to a new peer: it may have started or been cut off since.
 func (ctl *Control) sendCrashes(peer string) {
-	msg := mesh.Crashes{}
-	for _, rep := range ctl.marks.Reports() {
-		msg.List = append(msg.List, mesh.Crash{Request: uint64(rep.Fingerprint), Server: rep.Crash.Server(), Ended: rep.Crash.Ended(), At: rep.Crash.At()})
+	list := ctl.marks.Reports()
+	if len(list) == 0 {
+		return
+	}
+	msg, snd := mesh.Crashes{}, mesh.Sound{Prints: map[uint64]time.Time{}}
+	for _, rep := range list {
+		msg.List = append(msg.List, crashMessage(rep))
+	}
+	for fpr, at := range ctl.marks.Sounds(list) {
+		snd.Prints[uint64(fpr)] = at
+	}
+	ctl.lnk.Send(peer, msg)
+	if len(snd.Prints) > 0 {
+		ctl.lnk.Send(peer, snd)
 	}
-	if len(msg.List) > 0 {
-		ctl.lnk.Send(peer, msg)
+}
+
+func crashMessage(rep marks.Report) mesh.Crash {
+	msg := mesh.Crash{Request: uint64(rep.Request.Whole()), Server: rep.Crash.Server(), Ended: rep.Crash.Ended(), At: rep.Crash.At()}
+	for _, fpr := range rep.Request.Parts() {
+		msg.Parts = append(msg.Parts, uint64(fpr))
 	}
+	return msg
 }
 
 // spread sends a message about crashes to all peers, except to the one that it is from. Only
@@ -71,8 +92,12 @@
 }
 
 // Crashed reports a server that was lost with a request in flight.
-func (ctl *Control) Crashed(fpr marks.Fingerprint, server string, ended bool) {
-	ctl.post(evCrash{msg: mesh.Crash{Request: uint64(fpr), Server: server, Ended: ended, At: ctl.clk.Now()}, local: true})
+func (ctl *Control) Crashed(req marks.Request, server string, ended bool) {
+	crs := marks.NewCrash(server, ctl.clk.Now())
+	if ended {
+		crs = crs.WithEnd()
+	}
+	ctl.post(evCrash{msg: crashMessage(marks.Report{Request: req, Crash: crs}), local: true})
 }
 
 // soundDelay bounds the delay until peers hear of an answer. It is drawn, so that few of the
@@ -157,7 +182,10 @@
 // refuseWaiting refuses the requests without a decision that turn out to crash servers.
 func (ctl *Control) refuseWaiting(now time.Time) {
 	for id, req := range ctl.pending {
-		if req.placed || req.movingFrom != "" || !ctl.marks.Refused(now, marks.Fingerprint(req.spec.Fingerprint)) {
+		if req.placed || req.movingFrom != "" {
+			continue
+		}
+		if _, refused := ctl.marks.Cause(now, entry.MarksOf(&req.spec)); !refused {
 			continue
 		}
 		delete(ctl.pending, id)
--- a/io/entry/crash.go
+++ b/io/entry/crash.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"lovagestream/core/call"
 	"lovagestream/core/marks"
+	"lovagestream/core/sched"
 	"lovagestream/core/stock"
 	"lovagestream/io/conns"
 	"lovagestream/io/lines"
@@ -18,21 +20,73 @@
 // others take less.
 const crashCheckTime = 700 * time.Millisecond
 
+// MarksOf returns the fingerprints of a request that is submitted for placement.
+func MarksOf(spc *sched.Spec) marks.Request {
+	return newMarks(marks.Fingerprint(spc.Fingerprint), spc.Service, spc.Parts)
+}
+
+func newMarks(whole marks.Fingerprint, service string, parts []call.PromptPart) marks.Request {
+	out := make(marks.Request, 1, 1+len(parts))
+	out[0] = whole
+	for _, part := range parts {
+		out = append(out, marks.NewPartFingerprint(service, part.ID))
+	}
+	return out
+}
+
+// marks returns the fingerprints of the request.
+func (arq *activeRequest) marks() marks.Request {
+	if arq.prints == nil {
+		arq.prints = newMarks(arq.fpr, arq.service, arq.req.Parts)
+	}
+	return arq.prints
+}
+
 // checkMarks returns a *marks.RefusedError if requests like this one crash servers.
 func (arq *activeRequest) checkMarks() error {
-	if arq.srv.ctl.View().Marks.Refused(arq.srv.clk.Now(), arq.fpr) {
-		return &marks.RefusedError{Fingerprint: arq.fpr}
+	tab := arq.srv.ctl.View().Marks
+	if tab.Refusals() == 0 {
+		return nil
+	}
+	if fpr, refused := tab.Cause(arq.srv.clk.Now(), arq.marks()); refused {
+		arq.cause = fpr
+		return &marks.RefusedError{Fingerprint: fpr}
 	}
 	return nil
 }
 
-// reportCrash reports a server that closed the connection with the request in
-// flight, unless the request was canceled.
-func (arq *activeRequest) reportCrash(ctx context.Context, ent stock.Entry, err error) {
+// soundAfter is how long after its first event a stream shows that no part of its prompt
+// crashes servers: those that do crash a server as it begins to answer.
+const soundAfter = 500 * time.Millisecond
+
+// reportSound reports that the request was answered, if crashes count against any of its
+// fingerprints. Of an answer that goes on, only the parts of the prompt are known to be sound.
+func (arq *activeRequest) reportSound(complete bool) {
+	tab := arq.srv.ctl.View().Marks
+	if tab.Len() == 0 {
+		return
+	}
+	list := arq.marks().Parts()
+	if complete {
+		list = arq.marks()
+	}
+	list = slices.DeleteFunc(slices.Clone(list), func(fpr marks.Fingerprint) bool { return !tab.Suspected(fpr) })
+	if len(list) > 0 {
+		arq.srv.ctl.Sound(list...)
+	}
+}
+
+// reportCrash reports a server that closed the connection with the request in flight, unless
+// the request was canceled. begun is when its answer began, zero before.
+func (arq *activeRequest) reportCrash(ctx context.Context, ent stock.Entry, err error, begun time.Time) {
 	if ctx.Err() != nil || !conns.ServerClosed(err) {
 		return
 	}
-	rpt := &crashReport{srv: arq.srv, id: arq.req.ID, fpr: arq.fpr, service: arq.service, ent: ent}
+	req := arq.marks()
+	if !begun.IsZero() && arq.srv.clk.Now().Sub(begun) >= soundAfter {
+		req = req[:1]
+	}
+	rpt := &crashReport{srv: arq.srv, id: arq.req.ID, req: req, service: arq.service, ent: ent}
 	var end *call.EndedError
 	if errors.As(err, &end) {
 		rpt.report(true)
@@ -42,22 +96,11 @@
 	arq.srv.poo.CheckEnded(arq.service, ent.Address, rpt.checked)
 }
 
-// soundAfter is how long after its first event a stream shows that its request crashes no
-// servers.
-const soundAfter = 500 * time.Millisecond
-
-// reportSound reports that the request was answered, if crashes count against it.
-func (arq *activeRequest) reportSound() {
-	if arq.srv.ctl.View().Marks.Suspected(arq.fpr) {
-		arq.srv.ctl.Sound(arq.fpr)
-	}
-}
-
 // crashReport is the report of a server that may have crashed under a request.
 type crashReport struct {
 	srv     *Server
 	id      string
-	fpr     marks.Fingerprint
+	req     marks.Request
 	service string
 	ent     stock.Entry
 }
@@ -77,7 +120,7 @@
 			return
 		}
 		rpt.srv.gau.Count("crash-checks", "no-path")
-		rpt.srv.log.Log("crash-not-counted", lines.Fields{"id": rpt.id, "server": rpt.ent.Start(), "print": uint64(rpt.fpr), "reason": "no-path"})
+		rpt.srv.log.Log("crash-not-counted", lines.Fields{"id": rpt.id, "server": rpt.ent.Start(), "print": uint64(rpt.req.Whole()), "reason": "no-path"})
 	})
 }
 
@@ -87,5 +130,5 @@
 		result = "ended"
 	}
 	rpt.srv.gau.Count("crash-checks", result)
-	rpt.srv.ctl.Crashed(rpt.fpr, rpt.ent.Start(), ended)
+	rpt.srv.ctl.Crashed(rpt.req, rpt.ent.Start(), ended)
 }
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -123,6 +123,10 @@
 	giveUp   time.Time
 	deadline time.Time
 	fpr      marks.Fingerprint
+	// prints are the request's fingerprints, nil until they are needed. cause is the one for
+	// which it is refused.
+	prints marks.Request
+	cause  marks.Fingerprint
 	// standing is that of the client account, if its share was the reason of a
 	// refusal.
 	standing fair.Standing
@@ -399,6 +403,9 @@
 		// Other attempts of the caller have other IDs but the same fingerprint.
 		fie["print"] = uint64(arq.fpr)
 	}
+	if arq.cause != 0 {
+		fie["cause"] = uint64(arq.cause)
+	}
 	if arq.standing.Resource != "" && status == http.StatusServiceUnavailable {
 		maps.Copy(fie, StandingFields(arq.standing))
 	}
--- a/io/entry/generate.go
+++ b/io/entry/generate.go
@@ -173,7 +173,7 @@
 	}
 	arq.attempts++
 	if err != nil {
-		arq.reportCrash(ctx, ent, err)
+		arq.reportCrash(ctx, ent, err, time.Time{})
 		out := noResponse(err, repeatable)
 		return sendResult{out, unansweredOutcome(out)}
 	}
@@ -265,7 +265,7 @@
 			}
 			if !sound && stm.status == http.StatusOK && arq.srv.clk.Now().Sub(begun) >= soundAfter {
 				sound = true
-				arq.reportSound()
+				arq.reportSound(false)
 			}
 			if perr := stm.forward(ent, buf[:num], resumable); perr != nil {
 				return outcome{mayHaveRun: true, reason: "caller-left", err: perr}, place.Done
@@ -276,14 +276,14 @@
 			err = io.ErrUnexpectedEOF
 		}
 		if errors.Is(err, io.EOF) {
-			if !sound && !first && stm.status == http.StatusOK {
-				arq.reportSound()
+			if !first && stm.status == http.StatusOK {
+				arq.reportSound(true)
 			}
 			return stm.endOfStream()
 		}
 		if err != nil {
 			if ctx.Err() == nil {
-				arq.reportCrash(ctx, ent, err)
+				arq.reportCrash(ctx, ent, err, begun)
 			}
 			return outcome{retryable: resumable && stm.events.Resumable() && !arq.uncertain, mayHaveRun: true, reason: "stream-broke", err: err}, place.Failed
 		}
--- a/io/entry/plain.go
+++ b/io/entry/plain.go
@@ -285,7 +285,7 @@
 	}
 	arq.attempts++
 	if err != nil {
-		arq.reportCrash(ctx, ent, err)
+		arq.reportCrash(ctx, ent, err, time.Time{})
 		return noResponse(err, repeatable)
 	}
 	defer rep.Close()
@@ -366,6 +366,6 @@
 	arq.wri.WriteHeader(rep.ResponseHead.Status)
 	_, _ = arq.wri.Write(body)
 	if rep.ResponseHead.Status < http.StatusMultipleChoices {
-		arq.reportSound()
+		arq.reportSound(true)
 	}
 }
--- a/io/entry/view.go
+++ b/io/entry/view.go
@@ -108,7 +108,7 @@
 	FindStream(id, service string) <-chan resume.Record
 	// Crashed reports that a server was lost with a request in flight. ended is set if it
 	// refuses new connections.
-	Crashed(fpr marks.Fingerprint, server string, ended bool)
+	Crashed(req marks.Request, server string, ended bool)
 	// Sound reports that a request with these fingerprints was answered.
 	Sound(prints ...marks.Fingerprint)
 	// ServerAnswered reports that a server answered a request that was sent at a time.
