Operators see what crashes servers, and lift it

What operators saw: a refusal named a fingerprint of the request; which part of its prompt was the cause, whether others were refused for it, and how to serve it again once the servers were mended, nothing told.

Lines crash-cause-found, crash-cause-cleared and crash-cause-lifted name fingerprint and part, request-refused names cause and part; server-lost-with-request names the parts on board. Metrics crash-causes and crash-suspects. Instances tell each other the parts' names with the crashes.

--- a/io/edge/crashes.go
+++ b/io/edge/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 
 	"lovagestream/core/marks"
@@ -23,7 +24,7 @@
 func (evt evCrash) apply(ctl *Control, now time.Time) {
 	ctl.addCrashes(now, evt.msg)
 	if evt.local {
-		ctl.log.Log("server-lost-with-request", lines.Fields{"server": evt.msg.Server, "print": evt.msg.Request, "parts": evt.msg.Parts, "ended": evt.msg.Ended})
+		ctl.log.Log("server-lost-with-request", lines.Fields{"server": evt.msg.Server, "print": evt.msg.Request, "parts": evt.msg.Names, "ended": evt.msg.Ended})
 	}
 	ctl.spread(now, evt.from, evt.msg)
 }
@@ -37,8 +38,11 @@
 			crs = crs.WithEnd()
 		}
 		req := marks.Request{marks.Fingerprint(msg.Request)}
-		for _, fpr := range msg.Parts {
+		for i, fpr := range msg.Parts {
 			req = append(req, marks.Fingerprint(fpr))
+			if i < len(msg.Names) {
+				ctl.partNames[marks.Fingerprint(fpr)] = msg.Names[i]
+			}
 		}
 		reports = append(reports, marks.Report{Request: req, Crash: crs})
 	}
@@ -47,10 +51,33 @@
 	}
 	ctl.marks = ctl.marks.WithReports(now, reports)
 	ctl.rememberCrashed(now)
-	ctl.viewStale = true
+	ctl.marksChanged(now)
 	ctl.refuseWaiting(now)
 }
 
+// marksChanged logs the causes of crashes that were found or cleared.
+func (ctl *Control) marksChanged(now time.Time) {
+	ctl.viewStale = true
+	causes := map[marks.Fingerprint]bool{}
+	for _, ver := range ctl.marks.Verdicts() {
+		causes[ver.Fingerprint] = true
+		if !ctl.causes[ver.Fingerprint] {
+			ctl.log.Log("crash-cause-found", lines.Fields{"cause": uint64(ver.Fingerprint), "part": ctl.partNames[ver.Fingerprint], "crashes": len(ver.Crashes), "since": now.Sub(ver.Crashes[0].At()).Milliseconds(), "conditions": len(ver.Conditions)})
+		}
+	}
+	for fpr := range ctl.causes {
+		if !causes[fpr] {
+			ctl.log.Log("crash-cause-cleared", lines.Fields{"cause": uint64(fpr), "part": ctl.partNames[fpr]})
+		}
+	}
+	ctl.causes = causes
+	for fpr := range ctl.partNames {
+		if !ctl.marks.Suspected(fpr) {
+			delete(ctl.partNames, fpr)
+		}
+	}
+}
+
 // sendCrashes sends the evidence to a new peer: it may have started or been cut off since.
 func (ctl *Control) sendCrashes(peer string) {
 	list := ctl.marks.Reports()
@@ -59,7 +86,11 @@
 	}
 	msg, snd := mesh.Crashes{}, mesh.Sound{Prints: map[uint64]time.Time{}}
 	for _, rep := range list {
-		msg.List = append(msg.List, crashMessage(rep))
+		crs := crashMessage(rep)
+		for _, fpr := range rep.Request.Parts() {
+			crs.Names = append(crs.Names, ctl.partNames[fpr])
+		}
+		msg.List = append(msg.List, crs)
 	}
 	for fpr, at := range ctl.marks.Sounds(list) {
 		snd.Prints[uint64(fpr)] = at
@@ -92,12 +123,14 @@
 }
 
 // Crashed reports a server that was lost with a request in flight.
-func (ctl *Control) Crashed(req marks.Request, server string, ended bool) {
+func (ctl *Control) Crashed(req marks.Request, names []string, server string, ended bool) {
 	crs := marks.NewCrash(server, ctl.clk.Now())
 	if ended {
 		crs = crs.WithEnd()
 	}
-	ctl.post(evCrash{msg: crashMessage(marks.Report{Request: req, Crash: crs}), local: true})
+	msg := crashMessage(marks.Report{Request: req, Crash: crs})
+	msg.Names = names
+	ctl.post(evCrash{msg: msg, local: true})
 }
 
 // soundDelay bounds the delay until peers hear of an answer. It is drawn, so that few of the
@@ -112,7 +145,7 @@
 			continue
 		}
 		ctl.marks = ctl.marks.WithSound(now, now, fpr)
-		ctl.viewStale = true
+		ctl.marksChanged(now)
 		if len(ctl.sounds) == 0 {
 			ctl.soundsDue = now.Add(rand.N(soundDelay))
 		}
@@ -130,7 +163,7 @@
 		delete(ctl.sounds, prt)
 		if fpr := marks.Fingerprint(prt); ctl.marks.SuspectedBefore(fpr, at) {
 			ctl.marks = ctl.marks.WithSound(now, at, fpr)
-			ctl.viewStale = true
+			ctl.marksChanged(now)
 			news.Prints[prt] = at
 		}
 	}
@@ -148,6 +181,52 @@
 	ctl.sounds = map[uint64]time.Time{}
 }
 
+// CrashCause is a cause of crashes, for operators.
+type CrashCause struct {
+	// Fingerprint identifies the request or the part of prompts.
+	Fingerprint string `json:"fingerprint"`
+	// Part names the service and the part; empty for a whole request.
+	Part string `json:"part"`
+	// Crashes is the number of crashes that are kept, at most 8.
+	Crashes int `json:"crashes"`
+	// SinceMs and LastMs are how long ago the first and the last of them happened.
+	SinceMs int64 `json:"since-ms"`
+	LastMs  int64 `json:"last-ms"`
+	// Besides are the parts that a refused request must have besides.
+	Besides []string `json:"besides"`
+}
+
+func (ctl *Control) crashCauses(now time.Time) []CrashCause {
+	out := []CrashCause{}
+	for _, ver := range ctl.marks.Verdicts() {
+		cau := CrashCause{Fingerprint: formatFingerprint(ver.Fingerprint), Part: ctl.partNames[ver.Fingerprint], Crashes: len(ver.Crashes), SinceMs: now.Sub(ver.Crashes[0].At()).Milliseconds(), LastMs: now.Sub(ver.Crashes[len(ver.Crashes)-1].At()).Milliseconds(), Besides: []string{}}
+		for _, fpr := range ver.Conditions {
+			name := ctl.partNames[fpr]
+			if name == "" {
+				name = formatFingerprint(fpr)
+			}
+			cau.Besides = append(cau.Besides, name)
+		}
+		out = append(out, cau)
+	}
+	return out
+}
+
+func formatFingerprint(fpr marks.Fingerprint) string { return strconv.FormatUint(uint64(fpr), 10) }
+
+// Lift serves requests with a fingerprint again, at all instances. It is refused again after
+// further crashes.
+func (ctl *Control) Lift(fpr marks.Fingerprint) { ctl.post(evLift{fpr: fpr}) }
+
+type evLift struct{ fpr marks.Fingerprint }
+
+func (evt evLift) apply(ctl *Control, now time.Time) {
+	ctl.log.Log("crash-cause-lifted", lines.Fields{"cause": uint64(evt.fpr), "part": ctl.partNames[evt.fpr]})
+	// Its conditions have the same crashes, and would be refused alone.
+	ver, _ := ctl.marks.Verdict(evt.fpr)
+	evSound{prints: append([]marks.Fingerprint{evt.fpr}, ver.Conditions...)}.apply(ctl, now)
+}
+
 type evAnswered struct {
 	server string
 	sent   time.Time
@@ -174,7 +253,7 @@
 		}
 	}
 	if len(wrong) > 0 {
-		ctl.viewStale = true
+		ctl.marksChanged(now)
 		ctl.spread(now, from, mesh.Answered{Servers: wrong})
 	}
 }
@@ -206,7 +285,7 @@
 		lapsed := got == stock.Removed && rec.Entry.ID == ent.ID
 		if replaced || lapsed {
 			ctl.marks = ctl.marks.WithRestart(now, crs.Server())
-			ctl.viewStale = true
+			ctl.marksChanged(now)
 		}
 	}
 }
--- a/io/edge/gauges.go
+++ b/io/edge/gauges.go
@@ -39,13 +39,16 @@
 	// that of those for which there was no space.
 	streams    int
 	unrecorded int
+	// causes are those of crashes of servers, suspects counts the fingerprints with evidence.
+	causes   []CrashCause
+	suspects int
 	// waiting counts the requests without a decision by client account.
 	waiting map[string]int64
 }
 
 // snapshot returns the current stats.
 func (ctl *Control) snapshot(now time.Time) *stats {
-	sta := &stats{servers: len(ctl.live), pending: len(ctl.pending), jobs: ctl.sched.Jobs(), coordinator: ctl.coordinator, readsStore: ctl.Duty().Reads, storeAge: -1, verified: ctl.verified, limits: ctl.limits.limiter.All(), unplaced: ctl.sched.Unplaced(), cold: ctl.limits.limiter.ColdServers(), evacuated: len(ctl.evacuated), paused: len(ctl.pauses.list(now)), speeds: ctl.sched.Speeds(now), over: ctl.accounts.over, waiting: ctl.waitingByAccount(), streams: ctl.streams.records.Len(), unrecorded: ctl.streams.records.Dropped()}
+	sta := &stats{servers: len(ctl.live), pending: len(ctl.pending), jobs: ctl.sched.Jobs(), coordinator: ctl.coordinator, readsStore: ctl.Duty().Reads, storeAge: -1, verified: ctl.verified, limits: ctl.limits.limiter.All(), unplaced: ctl.sched.Unplaced(), cold: ctl.limits.limiter.ColdServers(), evacuated: len(ctl.evacuated), paused: len(ctl.pauses.list(now)), speeds: ctl.sched.Speeds(now), over: ctl.accounts.over, waiting: ctl.waitingByAccount(), streams: ctl.streams.records.Len(), unrecorded: ctl.streams.records.Dropped(), causes: ctl.crashCauses(now), suspects: ctl.marks.Len()}
 	sta.live, sta.known = ctl.mem.Count(now)
 	if ctl.tab != nil {
 		sta.configVersion = ctl.tab.Version()
@@ -63,6 +66,8 @@
 	}
 	read("streams-recorded", func(sta *stats) any { return sta.streams })
 	read("streams-unrecorded", func(sta *stats) any { return sta.unrecorded })
+	read("crash-causes", func(sta *stats) any { return len(sta.causes) })
+	read("crash-suspects", func(sta *stats) any { return sta.suspects })
 	read("config-version", func(sta *stats) any { return sta.configVersion })
 	read("servers", func(sta *stats) any { return sta.servers })
 	read("requests-handed-over", func(sta *stats) any { return sta.pending })
--- a/io/edge/node.go
+++ b/io/edge/node.go
@@ -165,7 +165,7 @@
 	servers := []transport.Server{callers, ready}
 	if nod.metricsLis != nil {
 		metrics := khttp.NewServer(khttp.Listener(nod.metricsLis), khttp.Timeout(0), endpoint(nod.set.MetricsAddr))
-		metrics.Handler = nod.gau
+		metrics.Handler = nod.operators()
 		servers = append(servers, metrics)
 	}
 	nod.app = kratos.New(
--- a/io/entry/crash.go
+++ b/io/entry/crash.go
@@ -49,12 +49,20 @@
 		return nil
 	}
 	if fpr, refused := tab.Cause(arq.srv.clk.Now(), arq.marks()); refused {
-		arq.cause = fpr
+		arq.noteCause(fpr)
 		return &marks.RefusedError{Fingerprint: fpr}
 	}
 	return nil
 }
 
+// noteCause keeps for the log why the request is refused.
+func (arq *activeRequest) noteCause(fpr marks.Fingerprint) {
+	arq.cause = fpr
+	if num := slices.Index(arq.marks(), fpr); num > 0 {
+		arq.causePart = arq.req.Parts[num-1].ID
+	}
+}
+
 // soundAfter is how long after its first event a stream shows that no part of its prompt
 // crashes servers: those that do crash a server as it begins to answer.
 const soundAfter = 500 * time.Millisecond
@@ -87,6 +95,9 @@
 		req = req[:1]
 	}
 	rpt := &crashReport{srv: arq.srv, id: arq.req.ID, req: req, service: arq.service, ent: ent}
+	for _, part := range arq.req.Parts[:len(req)-1] {
+		rpt.names = append(rpt.names, arq.service+"/"+part.ID)
+	}
 	var end *call.EndedError
 	if errors.As(err, &end) {
 		rpt.report(true)
@@ -101,6 +112,7 @@
 	srv     *Server
 	id      string
 	req     marks.Request
+	names   []string
 	service string
 	ent     stock.Entry
 }
@@ -130,5 +142,5 @@
 		result = "ended"
 	}
 	rpt.srv.gau.Count("crash-checks", result)
-	rpt.srv.ctl.Crashed(rpt.req, rpt.ent.Start(), ended)
+	rpt.srv.ctl.Crashed(rpt.req, rpt.names, rpt.ent.Start(), ended)
 }
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -124,9 +124,10 @@
 	deadline time.Time
 	fpr      marks.Fingerprint
 	// prints are the request's fingerprints, nil until they are needed. cause is the one for
-	// which it is refused.
-	prints marks.Request
-	cause  marks.Fingerprint
+	// which it is refused, causePart the part of its prompt if it is that.
+	prints    marks.Request
+	cause     marks.Fingerprint
+	causePart string
 	// standing is that of the client account, if its share was the reason of a
 	// refusal.
 	standing fair.Standing
@@ -404,7 +405,7 @@
 		fie["print"] = uint64(arq.fpr)
 	}
 	if arq.cause != 0 {
-		fie["cause"] = uint64(arq.cause)
+		fie["cause"], fie["part"] = uint64(arq.cause), arq.causePart
 	}
 	if arq.standing.Resource != "" && status == http.StatusServiceUnavailable {
 		maps.Copy(fie, StandingFields(arq.standing))
--- a/io/entry/view.go
+++ b/io/entry/view.go
@@ -106,9 +106,9 @@
 	// FindStream looks for the record of a stream. The answer, sent through the channel
 	// once, is empty if no instance that was asked has one.
 	FindStream(id, service string) <-chan resume.Record
-	// Crashed reports that a server was lost with a request in flight. ended is set if it
-	// refuses new connections.
-	Crashed(req marks.Request, server string, ended bool)
+	// Crashed reports that a server was lost with a request in flight. names are those of
+	// the parts of its prompt; ended is set if the server refuses new connections.
+	Crashed(req marks.Request, names []string, server string, ended bool)
 	// Sound reports that a request with these fingerprints was answered.
 	Sound(prints ...marks.Fingerprint)
 	// ServerAnswered reports that a server answered a request that was sent at a time.
--- a/io/mesh/message.go
+++ b/io/mesh/message.go
@@ -102,11 +102,12 @@
 	Decision struct{ sched.Decision }
 	// Crash reports a backend server that was lost with a request in flight.
 	// Request is the request's fingerprint, Parts are those of the parts of its prompt
-	// unless its answer had begun well before. Ended is set if the server refused new
+	// unless its answer had begun well before, Names their names for operators. Ended is set if the server refused new
 	// connections. At is the time by this instance's clock.
 	Crash struct {
 		Request uint64
 		Parts   []uint64
+		Names   []string
 		Server  string
 		Ended   bool
 		At      time.Time
@@ -431,7 +432,7 @@
 }
 
 func (msg Crash) wire(now time.Time) *wire.Crash {
-	return &wire.Crash{Request: msg.Request, Parts: msg.Parts, Server: msg.Server, Ended: msg.Ended, Age: now.Sub(msg.At).Microseconds()}
+	return &wire.Crash{Request: msg.Request, Parts: msg.Parts, Names: msg.Names, Server: msg.Server, Ended: msg.Ended, Age: now.Sub(msg.At).Microseconds()}
 }
 
 func (msg Crashes) encode(now time.Time) *wire.Envelope {
@@ -454,7 +455,7 @@
 // at once.
 func toCrash(now time.Time, crs *wire.Crash) Crash {
 	age := time.Duration(max(0, crs.GetAge())) * time.Microsecond
-	return Crash{Request: crs.GetRequest(), Parts: crs.GetParts(), Server: crs.GetServer(), Ended: crs.GetEnded(), At: now.Add(-age)}
+	return Crash{Request: crs.GetRequest(), Parts: crs.GetParts(), Names: crs.GetNames(), Server: crs.GetServer(), Ended: crs.GetEnded(), At: now.Add(-age)}
 }
 
 func (msg Sound) encode(now time.Time) *wire.Envelope {
