Requests that wait at engines are taken back once their part is known to crash them

What callers saw: engines ended after the cause was known, under requests sent before.

Cause: a request waits for its turn at the engine for hundreds of milliseconds; the check before the send is over by then.

Sends whose response hasn't begun are canceled when the evidence implicates their requests; engines drop what still waits when its connection closes. The engine isn't blamed.

--- a/io/edge/crashes.go
+++ b/io/edge/crashes.go
@@ -70,6 +70,9 @@
 			ctl.log.Log("crash-cause-cleared", lines.Fields{"cause": uint64(fpr), "part": ctl.partNames[fpr]})
 		}
 	}
+	if len(causes) > 0 {
+		ctl.causesFound(ctl.marks)
+	}
 	ctl.causes = causes
 	for fpr := range ctl.partNames {
 		if !ctl.marks.Suspected(fpr) {
--- a/io/entry/crash.go
+++ b/io/entry/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -107,6 +108,37 @@
 	arq.srv.poo.CheckEnded(arq.service, ent.Address, rpt.checked)
 }
 
+// waitingSends are the sends whose response hasn't begun. It is safe for concurrent use.
+type waitingSends struct {
+	mu    sync.Mutex
+	sends map[*mover]marks.Request
+}
+
+// add adds a send. The function that it returns removes it.
+func (wai *waitingSends) add(mov *mover, req marks.Request) func() {
+	wai.mu.Lock()
+	defer wai.mu.Unlock()
+	wai.sends[mov] = req
+	return func() {
+		wai.mu.Lock()
+		defer wai.mu.Unlock()
+		delete(wai.sends, mov)
+	}
+}
+
+// CancelRefused cancels the sends of requests that crash servers, as far as their responses
+// haven't begun: most wait for their turn at the server, which then drops them.
+func (srv *Server) CancelRefused(tab *marks.Table) {
+	now := srv.clk.Now()
+	srv.waiting.mu.Lock()
+	defer srv.waiting.mu.Unlock()
+	for mov, req := range srv.waiting.sends {
+		if _, refused := tab.Cause(now, req); refused {
+			mov.refuse()
+		}
+	}
+}
+
 // crashReport is the report of a server that may have crashed under a request.
 type crashReport struct {
 	srv     *Server
--- a/io/entry/generate.go
+++ b/io/entry/generate.go
@@ -51,6 +51,10 @@
 			break
 		}
 		arq.srv.log.Log("send-failed", lines.Fields{"id": arq.req.ID, "server": dec.Server.ID, "reason": last.reason, "ran": last.mayHaveRun, "error": text(last.err), "again": last.retryable, "events": stm.events.Count()})
+		if mov.refused {
+			last.reason, last.engineOutcome = reasonCrashes, place.Done
+			break
+		}
 		if !last.retryable || last.mayHaveRun && arq.attempts >= arq.rou.MaxAttempts || arq.deadline.Sub(arq.srv.clk.Now()) < minRemaining {
 			break
 		}
--- a/io/entry/move.go
+++ b/io/entry/move.go
@@ -26,6 +26,10 @@
 	begun bool
 	// next has the placement to which the request moves; nil if it stays.
 	next chan sched.Decision
+	// refused is set if the send was canceled because the request crashes servers.
+	refused bool
+	// unwatch ends the watch of the evidence.
+	unwatch func()
 }
 
 // watchSend starts a watch of a send to the placement in dec. A request that
@@ -33,6 +37,7 @@
 func (arq *activeRequest) watchSend(ctx context.Context, stm *stream, spc sched.Spec, dec sched.Decision) *mover {
 	mov := &mover{}
 	mov.ctx, mov.cancel = context.WithCancel(ctx)
+	mov.unwatch = arq.srv.waiting.add(mov, arq.marks())
 	if !arq.rou.Resumable || stm.headSent || arq.attempts+1 >= arq.rou.MaxAttempts || dec.Estimate <= 0 {
 		return mov
 	}
@@ -67,12 +72,12 @@
 }
 
 // begin records that the response has begun. It returns false if the request
-// has moved: the response must not be used then.
+// has moved or is refused: the response must not be used then.
 func (mov *mover) begin() bool {
 	mov.mu.Lock()
 	defer mov.mu.Unlock()
 	mov.begun = true
-	return mov.next == nil
+	return mov.next == nil && !mov.refused
 }
 
 // moveTo moves the request unless its response has begun. It reports whether it
@@ -89,12 +94,23 @@
 	return true
 }
 
+// refuse cancels the send unless its response has begun.
+func (mov *mover) refuse() {
+	mov.mu.Lock()
+	defer mov.mu.Unlock()
+	if !mov.begun {
+		mov.begun, mov.refused = true, true
+		mov.cancel()
+	}
+}
+
 // end ends the watch. It returns a channel with the next placement, or nil if
 // the request did not move.
 func (mov *mover) end() <-chan sched.Decision {
 	if mov.dog != nil {
 		mov.dog.Stop()
 	}
+	mov.unwatch()
 	mov.begin()
 	mov.cancel()
 	mov.mu.Lock()
