A server that is listed anew is tried at once

What callers saw: sound requests were refused with not-reached for up to a second after all servers of a small service had been started again.

Cause: that nobody reached the server at an address was kept for a second, by address, also when another start was listed there.

A new start at an address drops what is known of the path to the one before, and its idle connections.

--- a/core/reach/paths.go
+++ b/core/reach/paths.go
@@ -281,6 +281,21 @@
 	return was && !grp.lost
 }
 
+// Started records that another server has started at an address: connections failed to the one
+// before. It reports whether the path to the service's servers no longer counts as lost.
+func (pas *Paths) Started(ser Server) bool {
+	pth := pas.paths[ser]
+	if pth == nil {
+		return false
+	}
+	pth.failedAt, pth.unreachableUntil, pth.triedAt = time.Time{}, time.Time{}, time.Time{}
+	grp := pas.group(ser.Service)
+	delete(grp.failing, ser.Address)
+	was := grp.lost
+	grp.lost = was && len(grp.failing) >= grp.lostNumber()
+	return was && !grp.lost
+}
+
 // ServiceUnreachable reports whether the servers of a service are likely out of reach for all
 // instances: none was heard since a time, and as many as make a path count as lost
 // failed when they were last tried.
--- a/core/reach/reach_test.go
+++ b/core/reach/reach_test.go
@@ -58,6 +58,8 @@
 		if pas.Connected(now, ser) {
 			return "back"
 		}
+	case "started":
+		pas.Started(ser)
 	case "failed":
 		if pas.ConnectFailed(now, ser) {
 			return "lost"
--- a/io/conns/path.go
+++ b/io/conns/path.go
@@ -261,6 +261,12 @@
 	return poo.paths.state.ServiceUnreachable(service, since)
 }
 
+// ServerStarted records that another server has started at an address.
+func (poo *Pool) ServerStarted(service, address string) {
+	poo.paths.update(func(sta *reach.Paths) bool { return sta.Started(reach.Server{Service: service, Address: address}) })
+	poo.CloseIdle(address)
+}
+
 // tryLost opens trial connections to servers to which the path is lost, and drops
 // what is known of servers that are not used any more.
 func (poo *Pool) tryLost() {
--- a/io/edge/calls.go
+++ b/io/edge/calls.go
@@ -71,6 +71,13 @@
 	}
 }
 
+// serverStarted drops what is known of the path to the server that had the address before.
+func (cal *stageCaller) serverStarted(ent stock.Entry) {
+	if cal != nil && cal.poo != nil {
+		cal.poo.ServerStarted(ent.Service, ent.Address)
+	}
+}
+
 type evCallEnded struct {
 	number  uint64
 	results []sched.Result
--- a/io/edge/events.go
+++ b/io/edge/events.go
@@ -160,6 +160,9 @@
 	if got == stock.Restarted {
 		ctl.forgetStart(rec.Entry)
 	}
+	if got == stock.Restarted || got == stock.Applied && !listed && !rec.Removed {
+		ctl.calls.serverStarted(rec.Entry)
+	}
 	if ctl.marks.Len() > 0 {
 		ctl.noteRestarts(now, rec, got)
 	}
