Requests go through other instances when the connections to a server are taken here

What callers saw: nearly all new connections at one instance, and 18 in 100 requests are refused (connections-taken), while the other instances' connections to the same servers lie idle.

Cause: each instance may hold an even part of a server's connections.

A request for which the own part is taken goes through another instance, which has a part of its own; no server gets more connections than it takes from all. Calls to stage servers keep to the coordinator's part. The relay says connections-taken, which rests it for nobody.

Ruled out: larger parts by use told in heartbeats, which exceed the server's limit while they change.

--- a/io/conns/exchange.go
+++ b/io/conns/exchange.go
@@ -39,6 +39,9 @@
 	// MaxConns is how many connections this instance may hold to the server,
 	// including idle ones; 0 means no limit.
 	MaxConns int
+	// RelayIfTaken is set if the request goes through another instance when all connections
+	// that this one may hold to the server are in use.
+	RelayIfTaken bool
 	// Release is set if the request is no new work, so that a leaving server may get it.
 	Release bool
 	// Abort is set if the request is given up once the path to the service's
--- a/io/conns/path.go
+++ b/io/conns/path.go
@@ -284,7 +284,7 @@
 func (poo *Pool) mayRelay(ctx context.Context, req Request, err error) bool {
 	var lim *ConnLimitError
 	var unr *UnreachableError
-	if req.Relayed || ctx.Err() != nil || errors.As(err, &lim) || errors.As(err, &unr) {
+	if req.Relayed || ctx.Err() != nil || errors.As(err, &lim) && !req.RelayIfTaken || errors.As(err, &unr) {
 		return false
 	}
 	return poo.paths.relayAvailable()
@@ -300,6 +300,12 @@
 	res, rerr := poo.paths.relay.Exchange(ctx, req, id)
 	now, ser := poo.clk.Now(), req.server()
 	var unr *UnreachableError
+	var lim *ConnLimitError
+	var sen *SendError
+	if errors.As(err, &lim) && errors.As(rerr, &sen) && !sen.Sent {
+		// The path to the server is not the reason.
+		return nil, &SendError{Address: req.Address, Cause: err}
+	}
 	if errors.As(rerr, &unr) {
 		poo.paths.update(func(sta *reach.Paths) bool { return sta.Unreachable(now, ser) })
 		return nil, &SendError{Address: req.Address, Cause: &UnreachableError{Address: req.Address, Cause: err}}
@@ -307,10 +313,12 @@
 	if rerr != nil {
 		return nil, rerr
 	}
-	poo.paths.update(func(sta *reach.Paths) bool {
-		sta.Relayed(now, ser)
-		return false
-	})
+	if lim == nil {
+		poo.paths.update(func(sta *reach.Paths) bool {
+			sta.Relayed(now, ser)
+			return false
+		})
+	}
 	rep := &Reply{Header: res.Header, Length: res.Length, Framing: res.Framing, Relay: res.Relay, remote: res.Body, ResponseHead: head(res.Status, res.Header)}
 	rep.scanEvents()
 	return rep, nil
--- a/io/edge/relay.go
+++ b/io/edge/relay.go
@@ -236,7 +236,7 @@
 	case errors.As(err, &pau):
 		out.Sent, out.Cause, out.Remaining = false, mesh.RelayPaused, pau.Remaining
 	case errors.As(err, &lim):
-		out.Sent, out.Cause = false, mesh.RelayBusy
+		out.Sent, out.Cause = false, mesh.RelayTaken
 	case errors.As(err, &sen) && rly.poo.NoPathTo(req.Service, req.Address):
 		out.Sent, out.Cause = false, mesh.RelayNoPath
 	case errors.As(err, &sen):
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -447,7 +447,7 @@
 		Server: ent.ID, Service: arq.service, Zone: ent.Zone, Address: ent.Address, Method: arq.req.Method, Target: arq.req.Target, Host: arq.req.Host,
 		Fields: arq.srv.cdc.ForwardFields(arq.req, ext), Body: arq.req.Body,
 		MaxConns: arq.srv.ctl.View().Connections(arq.service), Check: func() error { return arq.maySend(ent) },
-		Abort: !arq.rou.AtMostOnce(), Deadline: arq.deadline,
+		Abort: !arq.rou.AtMostOnce(), Deadline: arq.deadline, RelayIfTaken: true,
 	}
 	sent := arq.srv.clk.Now()
 	rep, err = arq.srv.poo.Do(ctx, fwd, arq.req.ID, arq.srv.cdc.DecodeResponse)
--- a/io/mesh/relay.go
+++ b/io/mesh/relay.go
@@ -66,6 +66,8 @@
 	RelayClosed
 	// RelayEnded means that the server closed the connection and refuses new ones.
 	RelayEnded
+	// RelayTaken means that all connections that the relay may hold to the server are in use.
+	RelayTaken
 )
 
 // String returns the cause as it is named in logs.
@@ -85,6 +87,8 @@
 		return "closed"
 	case RelayEnded:
 		return "ended"
+	case RelayTaken:
+		return "connections-taken"
 	}
 	return "failed"
 }
@@ -317,7 +321,7 @@
 }
 
 func toRelayError(fai *wire.RelayFailure) *RelayError {
-	return &RelayError{Sent: fai.GetSent(), Cause: RelayCause(min(fai.GetCause(), uint32(RelayEnded))), Text: fai.GetText(), Remaining: time.Duration(fai.GetLeft()) * time.Microsecond}
+	return &RelayError{Sent: fai.GetSent(), Cause: RelayCause(min(fai.GetCause(), uint32(RelayTaken))), Text: fai.GetText(), Remaining: time.Duration(fai.GetLeft()) * time.Microsecond}
 }
 
 // Read reads the body.
