Soak: requests and parts that crash servers, most new connections at one instance

requests-crash-servers draws a service, one to three copies of requests or parts of prompts, and servers that come back under a new ID; it checks that at most three of them arrive later than three seconds after the crash that shows the cause, while nothing else is disturbed. connections-to-one gives nine of ten requests to one instance.

A closed connection that a proxy follows with others closed at once counts as the end of the server too: the soak's servers stand behind proxies, as do those behind a balancer's address.

--- a/io/conns/path.go
+++ b/io/conns/path.go
@@ -214,26 +214,31 @@
 
 const (
 	// endChecks is how many connections are tried to a server that may have ended, and
-	// endCheckInterval the time between them: a process closes its listener and its
-	// connections one after the other.
-	endChecks        = 2
-	endCheckInterval = 30 * time.Millisecond
+	// endCheckInterval how long each is watched for being closed: by a process that is
+	// about to end, or by a proxy in front of one that has.
+	endChecks        = 3
+	endCheckInterval = 20 * time.Millisecond
 )
 
-// Ended reports whether the server at an address refuses new connections, after it has closed
-// one. It takes a few milliseconds if so.
+// Ended reports whether the server at an address refuses new connections, or closes each at
+// once, after it has closed one. It takes a few milliseconds if they are refused.
 func (poo *Pool) Ended(ctx context.Context, service, address string) bool {
-	for num := range endChecks {
-		if num > 0 && poo.clk.Sleep(ctx, endCheckInterval) != nil {
-			return false
-		}
+	for range endChecks {
 		con, err := poo.openConn(ctx, Request{Service: service, Address: address}, shortDialTimeout)
 		if err != nil {
 			return errors.Is(err, syscall.ECONNREFUSED)
 		}
-		poo.putIdle(con, 0)
+		if poo.clk.Sleep(ctx, endCheckInterval) != nil {
+			poo.discard(con)
+			return false
+		}
+		if con.usable() {
+			poo.putIdle(con, 0)
+			return false
+		}
+		poo.discard(con)
 	}
-	return false
+	return true
 }
 
 // CheckEnded calls fun with what Ended returns, in the background.
--- a/stand/field/fault.go
+++ b/stand/field/fault.go
@@ -61,6 +61,8 @@
 	{"configs-in-a-row", true, (*injector).publishSeries},
 	{"account-floods", true, (*injector).floodByAccount},
 	{"server-states-load", true, (*injector).stateLoad},
+	{"requests-crash-servers", false, (*injector).crashByRequests},
+	{"connections-to-one", true, (*injector).favorInstance},
 }
 
 // injector injects one fault with its own random source.
--- a/stand/field/field.go
+++ b/stand/field/field.go
@@ -111,6 +111,8 @@
 	// stops counts completed planned stops, floods those of an account.
 	stops  int
 	floods int
+	// favorite gets most requests; nil if none does.
+	favorite *instance
 }
 
 // instance is one entry instance across process restarts.
--- a/stand/field/send.go
+++ b/stand/field/send.go
@@ -36,6 +36,9 @@
 	resumes  *request
 	last     int
 	versions []string
+	// path replaces the path that names the request; parts are those of the prompt.
+	path  string
+	parts string
 }
 
 // routes are the names of the routes, drawn with equal probability.
@@ -102,6 +105,9 @@
 func (clu *Cluster) pickInstance(rng *rand.Rand) *instance {
 	clu.mu.Lock()
 	defer clu.mu.Unlock()
+	if fav := clu.favorite; fav != nil && fav.inRotation && rng.Float64() < favoriteShare {
+		return fav
+	}
 	var list []*instance
 	for _, ins := range clu.instances {
 		if ins.inRotation {
@@ -120,6 +126,9 @@
 	if rqt.resumes != nil {
 		return rqt.resumes.target()
 	}
+	if rqt.path != "" {
+		return rqt.path
+	}
 	return "/" + rqt.route + "/x?n=" + rqt.id
 }
 
@@ -133,7 +142,7 @@
 		tmr := time.AfterFunc(leave, cancel)
 		defer tmr.Stop()
 	}
-	call := fakes.CallerRequest{ID: rqt.id, Path: rqt.target(), Body: rqt.body, Deadline: routeTimeout, Pieces: "2,1", Key: apiKey(rqt.account)}
+	call := fakes.CallerRequest{ID: rqt.id, Path: rqt.target(), Body: rqt.body, Deadline: routeTimeout, Pieces: "2,1", Parts: rqt.parts, Key: apiKey(rqt.account)}
 	if rqt.resumes != nil {
 		call.Resumes, call.LastEvent = rqt.resumes.id, rqt.last
 		call.Deadline -= start.Sub(rqt.resumes.start)
