Own path: peers that are reached anew get the crashes; answers withdraw them

Cause: a crash was told once, and nothing withdrew it.

Peers that become live, or have started again, are sent the reports of the table. A request on board at crashes that another one explains isn't implicated by them; runner and platform use one judgement.

--- a/core/crash.go
+++ b/core/crash.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"lovagestream/core/fleet"
@@ -64,6 +65,36 @@
 
 func (CrashReport) message() {}
 
+// RequestAnswered reports that a request was answered against which crashes count.
+type RequestAnswered struct{ fingerprint marks.Fingerprint }
+
+// NewRequestAnswered returns the event.
+func NewRequestAnswered(fpr marks.Fingerprint) RequestAnswered {
+	return RequestAnswered{fingerprint: fpr}
+}
+
+func (RequestAnswered) event() {}
+
+// CrashWithdrawal tells a peer that requests were answered against which crashes count.
+type CrashWithdrawal struct {
+	// age is the time since the answer by the sender's clock.
+	age          time.Duration
+	fingerprints []marks.Fingerprint
+}
+
+// NewCrashWithdrawal returns the message with at most marks.MaxBatch fingerprints.
+func NewCrashWithdrawal(age time.Duration, fingerprints []marks.Fingerprint) CrashWithdrawal {
+	return CrashWithdrawal{age: age, fingerprints: fingerprints[:min(len(fingerprints), marks.MaxBatch)]}
+}
+
+// Age returns the time since the answer.
+func (msg CrashWithdrawal) Age() time.Duration { return msg.age }
+
+// Fingerprints returns those of the requests that were answered.
+func (msg CrashWithdrawal) Fingerprints() []marks.Fingerprint { return msg.fingerprints }
+
+func (CrashWithdrawal) message() {}
+
 // Marks returns the evidence against requests that crash servers.
 func (vie *View) Marks() *marks.Table { return vie.marks }
 
@@ -73,27 +104,43 @@
 	table *marks.Table
 	// prunedAt is when expired evidence was last removed from the table.
 	prunedAt time.Time
+	// greeted are the peers that were sent the evidence, by ID, with their incarnation.
+	greeted map[string]uint64
 }
 
 var _ component = (*crashes)(nil)
 
-func newCrashes(ctl *Control) *crashes { return &crashes{ctl: ctl} }
+func newCrashes(ctl *Control) *crashes { return &crashes{ctl: ctl, greeted: map[string]uint64{}} }
 
 func (crs *crashes) step(now time.Time, ev Event) []Decision {
 	switch evt := ev.(type) {
 	case ServerCrashed:
 		crs.add(now, evt.crash, evt.fingerprint)
-		return crs.broadcast(now, evt)
-	case MessageReceived:
-		if msg, is := evt.msg.(CrashReport); is && msg.age < marks.CrashTTL {
-			crs.add(now, msg.crash(now), msg.fingerprints...)
+		return crs.broadcast(crashReport(now, evt.crash, evt.fingerprint))
+	case RequestAnswered:
+		if crs.withdraw(now, now, evt.fingerprint) {
+			return crs.broadcast(NewCrashWithdrawal(0, []marks.Fingerprint{evt.fingerprint}))
 		}
+	case MessageReceived:
+		crs.receive(now, evt.msg)
 	case Tick:
 		crs.prune(now)
+		return crs.greet(now)
 	}
 	return nil
 }
 
+func (crs *crashes) receive(now time.Time, msg Message) {
+	switch got := msg.(type) {
+	case CrashReport:
+		if got.age < marks.CrashTTL {
+			crs.add(now, got.crash(now), got.fingerprints...)
+		}
+	case CrashWithdrawal:
+		crs.withdraw(now, now.Add(-got.age), got.fingerprints...)
+	}
+}
+
 func (crs *crashes) fill(vie *View) { vie.marks = crs.table }
 
 func (crs *crashes) add(now time.Time, cra marks.Crash, fprs ...marks.Fingerprint) {
@@ -101,16 +148,49 @@
 	crs.ctl.dirty = true
 }
 
-// broadcast sends a crash to all peers at once. A caller whose request failed
-// may retry it within milliseconds at another entry instance, so any delay can
-// cost one more server.
-func (crs *crashes) broadcast(now time.Time, evt ServerCrashed) []Decision {
-	cra := evt.crash
+// withdraw clears fingerprints of requests that were answered at a time. It reports whether
+// crashes counted against any.
+func (crs *crashes) withdraw(now, at time.Time, fprs ...marks.Fingerprint) bool {
+	if !slices.ContainsFunc(fprs, func(fpr marks.Fingerprint) bool { return crs.table.SuspectedBefore(fpr, at) }) {
+		return false
+	}
+	crs.table = crs.table.WithSound(now, at, fprs...)
+	crs.ctl.dirty = true
+	return true
+}
+
+// greet sends the evidence to peers that are reached for the first time since their start, or
+// again after a while: they don't know what was reported meanwhile.
+func (crs *crashes) greet(now time.Time) []Decision {
+	var decs []Decision
+	for _, mem := range crs.ctl.members.All() {
+		last, known := crs.greeted[mem.ID()]
+		switch {
+		case mem.State() != fleet.Live:
+			delete(crs.greeted, mem.ID())
+		case !known || last != mem.Incarnation():
+			crs.greeted[mem.ID()] = mem.Incarnation()
+			for _, rep := range crs.table.Reports() {
+				decs = append(decs, send(mem.ID(), crashReport(now, rep.Crash, rep.Request...)))
+			}
+		}
+	}
+	return decs
+}
+
+// crashReport returns the message about a crash with requests in flight.
+func crashReport(now time.Time, cra marks.Crash, fprs ...marks.Fingerprint) CrashReport {
 	silence := time.Duration(0)
 	if !cra.LastReply().IsZero() {
 		silence = max(cra.At().Sub(cra.LastReply()), time.Millisecond)
 	}
-	msg := NewCrashReport(cra.Server(), now.Sub(cra.At()), silence, []marks.Fingerprint{evt.fingerprint})
+	return NewCrashReport(cra.Server(), now.Sub(cra.At()), silence, fprs)
+}
+
+// broadcast sends a message to all peers at once. A caller whose request failed
+// may retry it within milliseconds at another entry instance, so any delay can
+// cost one more server.
+func (crs *crashes) broadcast(msg Message) []Decision {
 	var decs []Decision
 	for _, mem := range crs.ctl.members.All() {
 		if mem.State() != fleet.Gone {
@@ -134,5 +214,7 @@
 
 var (
 	_ Event   = ServerCrashed{}
+	_ Event   = RequestAnswered{}
 	_ Message = CrashReport{}
+	_ Message = CrashWithdrawal{}
 )
--- a/core/marks/judge.go
+++ b/core/marks/judge.go
@@ -172,16 +172,21 @@
 }
 
 // Implicated reports whether the evidence implicates a request: it was in
-// flight at CrashLimit crashes, and no more other servers crashed around that
-// time without it. A lost zone or a failed device on the network path takes
-// many servers at once, and a request that is retried on one after the other
-// meets several of these crashes.
-func (tab *Table) Implicated(now time.Time, crashes []Crash) bool {
+// flight at CrashLimit crashes that no other request explains, and no more other
+// servers crashed around that time without it. A lost zone or a failed device on
+// the network path takes many servers at once, and a request that is retried on
+// one after the other meets several of these crashes. crashes may hold more than
+// the table does.
+func (tab *Table) Implicated(now time.Time, fpr Fingerprint, crashes []Crash) bool {
+	if tab.Refused(now, fpr) {
+		return true
+	}
 	crashes = unexpired(now, crashes)
-	if len(crashes) < CrashLimit {
+	explained := tab.explained()
+	if len(crashes) < CrashLimit || (evidence{crashes: crashes}).unexplained(explained) < CrashLimit {
 		return false
 	}
-	return tab.unrelated(crashes, tab.explained()) <= CrashLimit
+	return tab.unrelated(crashes, explained) <= CrashLimit
 }
 
 // explained returns the crashes that refused requests explain.
--- a/core/script_test.go
+++ b/core/script_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"lovagestream/core/marks"
 )
 
 // script runs one section of a data file against a driver. A section has
@@ -132,6 +134,22 @@
 		scr.drv.step(scr.node(arg[0]), NewServerLeaving(arg[1]))
 		return nil
 	}},
+	"crash": {3, func(scr *script, arg []string) error {
+		scr.drv.step(scr.node(arg[0]), NewServerCrashed(marks.NewCrash(arg[1], scr.drv.now), marks.Fingerprint(number(arg[2]))))
+		return nil
+	}},
+	"answered": {2, func(scr *script, arg []string) error {
+		scr.drv.step(scr.node(arg[0]), NewRequestAnswered(marks.Fingerprint(number(arg[1]))))
+		return nil
+	}},
+	"is-crashes": {3, func(scr *script, arg []string) error {
+		for _, nod := range scr.nodes(arg[0]) {
+			if err := want(uint64(len(nod.ctl.View().Marks().Crashes(marks.Fingerprint(number(arg[1]))))), number(arg[2])); err != nil {
+				return fmt.Errorf("%s: %w", nod.id, err)
+			}
+		}
+		return nil
+	}},
 	"is-revision": {2, func(scr *script, arg []string) error {
 		for _, nod := range scr.nodes(arg[0]) {
 			doc := nod.ctl.View().Config()
--- a/io/peer/crash.go
+++ b/io/peer/crash.go
@@ -19,9 +19,29 @@
 	if len(bod.GetServer()) > maxNameLen || len(bod.GetPrints()) > marks.MaxBatch {
 		return core.CrashReport{}, messageErrorf(env, "%d fingerprints, a server's identity of %d bytes", len(bod.GetPrints()), len(bod.GetServer()))
 	}
+	return core.NewCrashReport(bod.GetServer(), millis(bod.GetAgeMillis()), millis(bod.GetMuteMillis()), toFingerprints(bod.GetPrints())), nil
+}
+
+func encodeCrashWithdrawal(msg core.CrashWithdrawal, env *wire.Envelope) {
+	bod := &wire.CrashWithdrawal{AgeMillis: msg.Age().Milliseconds()}
+	for _, fpr := range msg.Fingerprints() {
+		bod.Prints = append(bod.Prints, uint64(fpr))
+	}
+	env.Body = &wire.Envelope_CrashWithdrawal{CrashWithdrawal: bod}
+}
+
+func decodeCrashWithdrawal(env *wire.Envelope) (core.CrashWithdrawal, error) {
+	bod := env.GetCrashWithdrawal()
+	if len(bod.GetPrints()) > marks.MaxBatch || bod.GetAgeMillis() < 0 {
+		return core.CrashWithdrawal{}, messageErrorf(env, "%d fingerprints, an age of %d ms", len(bod.GetPrints()), bod.GetAgeMillis())
+	}
+	return core.NewCrashWithdrawal(millis(bod.GetAgeMillis()), toFingerprints(bod.GetPrints())), nil
+}
+
+func toFingerprints(list []uint64) []marks.Fingerprint {
 	var fprs []marks.Fingerprint
-	for _, num := range bod.GetPrints() {
+	for _, num := range list {
 		fprs = append(fprs, marks.Fingerprint(num))
 	}
-	return core.NewCrashReport(bod.GetServer(), millis(bod.GetAgeMillis()), millis(bod.GetMuteMillis()), fprs), nil
+	return fprs
 }
--- a/io/peer/keys_test.go
+++ b/io/peer/keys_test.go
@@ -36,6 +36,8 @@
 	}
 	msg := core.NewCrashReport("eng-1", 3*time.Second, time.Second, []marks.Fingerprint{1, 1 << 60})
 	require.Equal(t, msg, roundTrip(t, msg))
+	wdr := core.NewCrashWithdrawal(2*time.Second, []marks.Fingerprint{3, 1 << 61})
+	require.Equal(t, wdr, roundTrip(t, wdr))
 }
 
 // roundTrip encodes and decodes a message.
--- a/io/probe/probe.go
+++ b/io/probe/probe.go
@@ -74,6 +74,13 @@
 	return crs, true
 }
 
+// Answered posts that a request was answered against which crashes count.
+func (prb *Prober) Answered(fpr marks.Fingerprint) {
+	ctx, cancel := context.WithTimeout(context.Background(), postTimeout)
+	defer cancel()
+	_ = prb.pst.Post(ctx, core.NewRequestAnswered(fpr))
+}
+
 // crashed reports whether the server at an address refuses a connection or closes
 // every new one at once.
 func (prb *Prober) crashed(ctx context.Context, address string) bool {
--- a/io/runner/crash.go
+++ b/io/runner/crash.go
@@ -21,6 +21,8 @@
 	// sent, ended before the reply. It returns the server's crash if the server crashed
 	// meanwhile.
 	CheckCrash(ctx context.Context, srv *route.Server, fpr marks.Fingerprint, sent time.Time) (marks.Crash, bool)
+	// Answered reports that a request was answered against which crashes count.
+	Answered(fpr marks.Fingerprint)
 }
 
 // errCrashesServers is the error of a call that is not made, since its request was in
@@ -66,7 +68,17 @@
 // that crashed.
 func (rnr *Runner) crashesServers(now time.Time, req *Request) bool {
 	crs := rnr.evidence(req)
-	return len(crs) > 0 && rnr.prb.CrashTable().Implicated(now, crs)
+	return len(crs) > 0 && rnr.prb.CrashTable().Implicated(now, req.fingerprint(), crs)
+}
+
+// reportAnswered reports that a request was answered, if crashes count against it.
+func (rnr *Runner) reportAnswered(req *Request) {
+	if rnr.prb == nil || rnr.prb.CrashTable().Len() == 0 {
+		return
+	}
+	if fpr := req.fingerprint(); rnr.prb.CrashTable().Suspected(fpr) {
+		rnr.prb.Answered(fpr)
+	}
 }
 
 // evidence returns the crashes that count against a request. The fingerprint is
--- a/io/runner/crash_test.go
+++ b/io/runner/crash_test.go
@@ -17,6 +17,8 @@
 
 func (kno knownCrashes) CrashTable() *marks.Table { return kno.tab }
 
+func (knownCrashes) Answered(marks.Fingerprint) {}
+
 func (kno knownCrashes) CheckCrash(context.Context, *route.Server, marks.Fingerprint, time.Time) (marks.Crash, bool) {
 	return marks.Crash{}, false
 }
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -87,6 +87,7 @@
 	err := run.runStages(dctx)
 	req.costs = run.costs
 	if err == nil {
+		rnr.reportAnswered(req)
 		return run.answer(), nil
 	}
 	return nil, rnr.refusal(ctx, dctx, req, err)
