Own path: a withdrawal travels in the crash report, for links with earlier builds

The withdrawal is a crash report without server and fingerprints, in which earlier builds find nothing.

--- a/core/crash.go
+++ b/core/crash.go
@@ -33,6 +33,9 @@
 	age          time.Duration
 	silence      time.Duration
 	fingerprints []marks.Fingerprint
+	// answered are the fingerprints of requests that were answered, in a report without a
+	// crash; age is then the time since the answer.
+	answered []marks.Fingerprint
 }
 
 // NewCrashReport returns the message with at most marks.MaxBatch fingerprints.
@@ -40,6 +43,12 @@
 	return CrashReport{server: server, age: age, silence: silence, fingerprints: fingerprints[:min(len(fingerprints), marks.MaxBatch)]}
 }
 
+// NewCrashWithdrawal returns the message that requests were answered against which crashes
+// count, with at most marks.MaxBatch fingerprints. Earlier builds find no crash in it.
+func NewCrashWithdrawal(age time.Duration, answered []marks.Fingerprint) CrashReport {
+	return CrashReport{age: age, answered: answered[:min(len(answered), marks.MaxBatch)]}
+}
+
 // Server returns the identity of the crashed server.
 func (msg CrashReport) Server() string { return msg.server }
 
@@ -63,6 +72,9 @@
 // Fingerprints returns those of the requests that were in flight there.
 func (msg CrashReport) Fingerprints() []marks.Fingerprint { return msg.fingerprints }
 
+// Answered returns those of the requests that were answered; none in a report of a crash.
+func (msg CrashReport) Answered() []marks.Fingerprint { return msg.answered }
+
 func (CrashReport) message() {}
 
 // RequestAnswered reports that a request was answered against which crashes count.
@@ -75,26 +87,6 @@
 
 func (RequestAnswered) event() {}
 
-// CrashWithdrawal tells a peer that requests were answered against which crashes count.
-type CrashWithdrawal struct {
-	// age is the time since the answer by the sender's clock.
-	age          time.Duration
-	fingerprints []marks.Fingerprint
-}
-
-// NewCrashWithdrawal returns the message with at most marks.MaxBatch fingerprints.
-func NewCrashWithdrawal(age time.Duration, fingerprints []marks.Fingerprint) CrashWithdrawal {
-	return CrashWithdrawal{age: age, fingerprints: fingerprints[:min(len(fingerprints), marks.MaxBatch)]}
-}
-
-// Age returns the time since the answer.
-func (msg CrashWithdrawal) Age() time.Duration { return msg.age }
-
-// Fingerprints returns those of the requests that were answered.
-func (msg CrashWithdrawal) Fingerprints() []marks.Fingerprint { return msg.fingerprints }
-
-func (CrashWithdrawal) message() {}
-
 // Marks returns the evidence against requests that crash servers.
 func (vie *View) Marks() *marks.Table { return vie.marks }
 
@@ -131,13 +123,13 @@
 }
 
 func (crs *crashes) receive(now time.Time, msg Message) {
-	switch got := msg.(type) {
-	case CrashReport:
-		if got.age < marks.CrashTTL {
-			crs.add(now, got.crash(now), got.fingerprints...)
-		}
-	case CrashWithdrawal:
-		crs.withdraw(now, now.Add(-got.age), got.fingerprints...)
+	got, is := msg.(CrashReport)
+	switch {
+	case !is || got.age >= marks.CrashTTL:
+	case len(got.answered) > 0:
+		crs.withdraw(now, now.Add(-got.age), got.answered...)
+	default:
+		crs.add(now, got.crash(now), got.fingerprints...)
 	}
 }
 
@@ -216,5 +208,4 @@
 	_ Event   = ServerCrashed{}
 	_ Event   = RequestAnswered{}
 	_ Message = CrashReport{}
-	_ Message = CrashWithdrawal{}
 )
--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -49,7 +49,6 @@
 	newCodec[core.ListPull, *wire.Envelope_ListPull](encodeListPull, decodeListPull),
 	newCodec[core.FullList, *wire.Envelope_ListWhole](encodeFullList, decodeFullList),
 	newCodec[core.CrashReport, *wire.Envelope_CrashMarks](encodeCrashReport, decodeCrashReport),
-	newCodec[core.CrashWithdrawal, *wire.Envelope_CrashWithdrawal](encodeCrashWithdrawal, decodeCrashWithdrawal),
 	newCodec[core.ShareRequest, *wire.Envelope_Demand](encodeShareRequest, decodeShareRequest),
 	newCodec[core.ShareGrant, *wire.Envelope_Grant](encodeShareGrant, decodeShareGrant),
 	newCodec[core.KeyMessage, *wire.Envelope_Keys](encodeKeyMessage, decodeKeyMessage),
--- a/io/peer/crash.go
+++ b/io/peer/crash.go
@@ -11,31 +11,21 @@
 	for _, fpr := range msg.Fingerprints() {
 		bod.Prints = append(bod.Prints, uint64(fpr))
 	}
+	for _, fpr := range msg.Answered() {
+		bod.Answered = append(bod.Answered, uint64(fpr))
+	}
 	env.Body = &wire.Envelope_CrashMarks{CrashMarks: bod}
 }
 
 func decodeCrashReport(env *wire.Envelope) (core.CrashReport, error) {
 	bod := env.GetCrashMarks()
-	if len(bod.GetServer()) > maxNameLen || len(bod.GetPrints()) > marks.MaxBatch {
+	if len(bod.GetServer()) > maxNameLen || len(bod.GetPrints()) > marks.MaxBatch || len(bod.GetAnswered()) > marks.MaxBatch {
 		return core.CrashReport{}, messageErrorf(env, "%d fingerprints, a server's identity of %d bytes", len(bod.GetPrints()), len(bod.GetServer()))
 	}
-	return core.NewCrashReport(bod.GetServer(), millis(bod.GetAgeMillis()), millis(bod.GetMuteMillis()), toFingerprints(bod.GetPrints())), nil
-}
-
-func encodeCrashWithdrawal(msg core.CrashWithdrawal, env *wire.Envelope) {
-	bod := &wire.CrashWithdrawal{AgeMillis: msg.Age().Milliseconds()}
-	for _, fpr := range msg.Fingerprints() {
-		bod.Prints = append(bod.Prints, uint64(fpr))
-	}
-	env.Body = &wire.Envelope_CrashWithdrawal{CrashWithdrawal: bod}
-}
-
-func decodeCrashWithdrawal(env *wire.Envelope) (core.CrashWithdrawal, error) {
-	bod := env.GetCrashWithdrawal()
-	if len(bod.GetPrints()) > marks.MaxBatch || bod.GetAgeMillis() < 0 {
-		return core.CrashWithdrawal{}, messageErrorf(env, "%d fingerprints, an age of %d ms", len(bod.GetPrints()), bod.GetAgeMillis())
+	if len(bod.GetAnswered()) > 0 {
+		return core.NewCrashWithdrawal(millis(bod.GetAgeMillis()), toFingerprints(bod.GetAnswered())), nil
 	}
-	return core.NewCrashWithdrawal(millis(bod.GetAgeMillis()), toFingerprints(bod.GetPrints())), nil
+	return core.NewCrashReport(bod.GetServer(), millis(bod.GetAgeMillis()), millis(bod.GetMuteMillis()), toFingerprints(bod.GetPrints())), nil
 }
 
 func toFingerprints(list []uint64) []marks.Fingerprint {
