Readers of the store whose calls fail are replaced at once

Cause: reading passed on by the age of what was known, 2.1 to 2.5 s, and then to all 83 at once, which spread their first calls over 4.8 s. A reader that fails looked like one whose long poll waits.

Heartbeats say that the sender reads the store and that three of its calls in a row have failed; it is told at once. The next instance of its zone reads then: in fleets beyond 16 another hub of the zone, since the others don't see who else would.

Ruled out: a shorter age, as long polls last 1.5 s in quiet times.

--- a/core/member/member.go
+++ b/core/member/member.go
@@ -35,6 +35,8 @@
 	// StoreAge is the time since the instance itself last heard from the store;
 	// negative if never.
 	StoreAge time.Duration
+	// StoreFailing is set if the instance reads the store and its calls fail.
+	StoreFailing bool
 	// ConfigVersion is the version of the instance's configuration,
 	// ServerDigest the digest of its records of backend servers.
 	ConfigVersion int64
@@ -432,6 +434,8 @@
 	known, alone := 1, true
 	senior := true
 	fresh := false
+	// An instance that is linked to hubs only can't tell which others take over as well.
+	mayReplace := len(set.others) < fullMeshLimit || set.SelfIsHub(now)
 	for _, inf := range set.others {
 		if inf.StartedAt > 0 {
 			known++
@@ -440,7 +444,7 @@
 			continue
 		}
 		alone = false
-		if inf.Zone == set.self.Zone && inf.heartbeat.Ready && precedes(inf.Member, set.self) {
+		if inf.Zone == set.self.Zone && inf.heartbeat.Ready && precedes(inf.Member, set.self) && !(inf.heartbeat.StoreFailing && mayReplace) {
 			senior = false
 		}
 		fresh = fresh || inf.hasFreshStore(now)
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -158,6 +158,27 @@
 	require.Equal(t, 1, readers)
 }
 
+// A reader whose calls to the store fail must be replaced at once, by one instance of its zone.
+func TestReaderThatFailsIsReplaced(t *testing.T) {
+	hub := NewSet(Member{Address: "x", Zone: "z0", StartedAt: 2, MilliCPU: 200})
+	hub.Linked(start, Member{Address: "a", Zone: "z0", StartedAt: 1, MilliCPU: 200})
+	for num := range 80 {
+		hub.Learn(start, []Member{{Address: fmt.Sprintf("m%03d", num), Zone: "z0", StartedAt: int64(num + 100), MilliCPU: 200}})
+	}
+	other := largeFleet(82)
+	for _, set := range []*Set{hub, other} {
+		set.HeartbeatReceived(start, "a", Heartbeat{Ready: true})
+		require.False(t, reads(set, start))
+		set.HeartbeatReceived(at(time.Second), "a", Heartbeat{Ready: true, StoreAge: time.Second, StoreFailing: true})
+	}
+	got, readers := hub.StoreReader(at(time.Second))
+	require.True(t, got)
+	require.Equal(t, 1, readers)
+	require.False(t, reads(other, at(time.Second)), "it is linked to hubs only, like dozens of others")
+	hub.HeartbeatReceived(at(2*time.Second), "a", Heartbeat{Ready: true})
+	require.False(t, reads(hub, at(2*time.Second)), "a reads again")
+}
+
 // largeFleet returns a set of a fleet of the given size in which only the hub a
 // is linked.
 func largeFleet(size int) *Set {
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -191,6 +191,8 @@
 	poolsLoggedAt time.Time
 	storeAt       time.Time
 	storeDown     bool
+	// storeFailed counts the calls to the store that failed in a row.
+	storeFailed int
 	// storeBack is when the store last came back, after an outage or in a new
 	// era.
 	storeBack time.Time
--- a/io/edge/duties.go
+++ b/io/edge/duties.go
@@ -119,7 +119,7 @@
 }
 
 func (ctl *Control) heartbeat(now time.Time) mesh.Heartbeat {
-	hbt := member.Heartbeat{Ready: ctl.tab != nil && ctl.registry.Len() > 0 && ctl.verified, Leaving: ctl.stopping, StoreAge: -1, ServersLost: ctl.serversLost}
+	hbt := member.Heartbeat{Ready: ctl.tab != nil && ctl.registry.Len() > 0 && ctl.verified, Leaving: ctl.stopping, StoreAge: -1, StoreFailing: ctl.storeFailing(), ServersLost: ctl.serversLost}
 	if !ctl.storeAt.IsZero() {
 		hbt.StoreAge = now.Sub(ctl.storeAt)
 	}
@@ -143,7 +143,7 @@
 func (ctl *Control) sendHeartbeats(now time.Time) {
 	hbt := ctl.heartbeat(now)
 	sent := &ctl.sent
-	again := hbt.Ready == sent.last.Ready && hbt.Leaving == sent.last.Leaving && hbt.ConfigVersion == sent.last.ConfigVersion && hbt.ServerDigest == sent.last.ServerDigest && hbt.ServersLost == sent.last.ServersLost &&
+	again := hbt.Ready == sent.last.Ready && hbt.Leaving == sent.last.Leaving && hbt.ConfigVersion == sent.last.ConfigVersion && hbt.ServerDigest == sent.last.ServerDigest && hbt.ServersLost == sent.last.ServersLost && hbt.StoreFailing == sent.last.StoreFailing &&
 		ctl.storeAt.Sub(sent.storeAt) < storeAgeStep
 	if !again {
 		sent.last, sent.storeAt = hbt.Heartbeat, ctl.storeAt
--- a/io/edge/events.go
+++ b/io/edge/events.go
@@ -204,7 +204,25 @@
 
 type evStoreResult struct{ err error }
 
+// storeFailures is how many calls to the store must fail in a row until another instance takes
+// over: both watches may be cut at any time.
+const storeFailures = 3
+
+// storeFailing reports whether this instance reads the store without success.
+func (ctl *Control) storeFailing() bool {
+	return ctl.storeFailed >= storeFailures && ctl.Duty().Reads
+}
+
 func (evt evStoreResult) apply(ctl *Control, now time.Time) {
+	failing := ctl.storeFailing()
+	ctl.storeFailed++
+	if evt.err == nil {
+		ctl.storeFailed = 0
+	}
+	if ctl.storeFailing() != failing {
+		// The next tick tells the peers.
+		ctl.heartbeatAt = time.Time{}
+	}
 	if evt.err != nil {
 		if !ctl.storeDown {
 			ctl.log.Log("store-lost", lines.Fields{"error": evt.err.Error(), "last": now.Sub(ctl.storeAt).Milliseconds()})
