--- a/core/member/member.go
+++ b/core/member/member.go
@@ -444,7 +444,8 @@
 			continue
 		}
 		alone = false
-		if inf.Zone == set.self.Zone && inf.heartbeat.Ready && precedes(inf.Member, set.self) && !(inf.heartbeat.StoreFailing && mayReplace) {
+		replaced := inf.heartbeat.StoreFailing && mayReplace
+		if inf.Zone == set.self.Zone && inf.heartbeat.Ready && precedes(inf.Member, set.self) && !replaced {
 			senior = false
 		}
 		fresh = fresh || inf.hasFreshStore(now)
