Crash checks are shared by the requests on one server; reports are bounded

What was seen (by reading): each request on a server that ends opened a connection of its own to look whether it refuses them, up to 64 at a time, and connections to servers are dear; names of parts were kept for reports that bring nothing new; a new link could get eight crashes for each of 256 requests.

One check runs for a server at a time, and all who ask meanwhile share its result. Names are kept with new reports alone. A new link gets at most 256 crashes; a report with more than 256 parts counts against the whole request alone.

--- a/core/marks/table.go
+++ b/core/marks/table.go
@@ -184,8 +184,8 @@
 	Crash   Crash
 }
 
-// Reports returns the crashes for an instance that knows of none: those of the MaxBatch
-// whole requests with the newest ones.
+// Reports returns the crashes for an instance that knows of none: at most MaxBatch, those of
+// the whole requests with the newest ones first.
 func (tab *Table) Reports() []Report {
 	if tab == nil {
 		return nil
@@ -197,8 +197,11 @@
 		return cmp.Or(tab.prints[two].newest().Compare(tab.prints[one].newest()), cmp.Compare(one, two))
 	})
 	var out []Report
-	for _, fpr := range prints[:min(len(prints), MaxBatch)] {
+	for _, fpr := range prints {
 		evi := tab.prints[fpr]
+		if len(out)+len(evi.crashes) > MaxBatch {
+			break
+		}
 		for _, crs := range evi.crashes {
 			out = append(out, Report{Request: append(Request{fpr}, evi.with...), Crash: crs})
 		}
--- a/io/conns/path.go
+++ b/io/conns/path.go
@@ -85,10 +85,13 @@
 	changed func()
 	// waiting are the requests to give up if the path is lost.
 	waiting map[*responseWatch]bool
+	// endChecks are the checks in progress whether a server has ended, by its address,
+	// with the functions to call.
+	endChecks map[string][]func(ended bool)
 }
 
 func newPaths() *paths {
-	return &paths{state: reach.NewPaths(), changed: func() {}, waiting: map[*responseWatch]bool{}}
+	return &paths{state: reach.NewPaths(), changed: func() {}, waiting: map[*responseWatch]bool{}, endChecks: map[string][]func(bool){}}
 }
 
 // RelayWith sets the relay, and a function that is called when the path to the servers
@@ -241,10 +244,26 @@
 	return true
 }
 
-// CheckEnded calls fun with what Ended returns, in the background.
+// CheckEnded calls fun with what Ended returns, in the background. All connections of a server
+// that ends are closed at the same time, so those who ask during a check share its result.
 func (poo *Pool) CheckEnded(service, address string, fun func(ended bool)) {
+	pas := poo.paths
+	pas.mu.Lock()
+	defer pas.mu.Unlock()
+	waiting, running := pas.endChecks[address]
+	pas.endChecks[address] = append(waiting, fun)
+	if running {
+		return
+	}
 	poo.grp.Go(func(ctx context.Context) error {
-		fun(poo.Ended(ctx, service, address))
+		ended := poo.Ended(ctx, service, address)
+		pas.mu.Lock()
+		list := pas.endChecks[address]
+		delete(pas.endChecks, address)
+		pas.mu.Unlock()
+		for _, fun := range list {
+			fun(ended)
+		}
 		return nil
 	})
 }
--- a/io/edge/crashes.go
+++ b/io/edge/crashes.go
@@ -38,17 +38,19 @@
 			crs = crs.WithEnd()
 		}
 		req := marks.Request{marks.Fingerprint(msg.Request)}
-		for i, fpr := range msg.Parts {
+		for _, fpr := range msg.Parts {
 			req = append(req, marks.Fingerprint(fpr))
-			if i < len(msg.Names) {
-				ctl.partNames[marks.Fingerprint(fpr)] = msg.Names[i]
-			}
 		}
 		reports = append(reports, marks.Report{Request: req, Crash: crs})
 	}
 	if ctl.marks.Knows(reports) {
 		return
 	}
+	for _, msg := range list {
+		for i, name := range msg.Names[:min(len(msg.Names), len(msg.Parts))] {
+			ctl.partNames[marks.Fingerprint(msg.Parts[i])] = name
+		}
+	}
 	ctl.marks = ctl.marks.WithReports(now, reports)
 	ctl.rememberCrashed(now)
 	ctl.marksChanged(now)
--- a/io/mesh/message.go
+++ b/io/mesh/message.go
@@ -451,11 +451,18 @@
 	return msg
 }
 
+// maxCrashParts bounds the parts of a prompt in a report.
+const maxCrashParts = 256
+
 // toCrash returns a crash by this instance's clock. A build that sends no age reports a crash
 // at once.
 func toCrash(now time.Time, crs *wire.Crash) Crash {
 	age := time.Duration(max(0, crs.GetAge())) * time.Microsecond
-	return Crash{Request: crs.GetRequest(), Parts: crs.GetParts(), Names: crs.GetNames(), Server: crs.GetServer(), Ended: crs.GetEnded(), At: now.Add(-age)}
+	parts, names := crs.GetParts(), crs.GetNames()
+	if len(parts) > maxCrashParts || len(names) > len(parts) {
+		parts, names = nil, nil
+	}
+	return Crash{Request: crs.GetRequest(), Parts: parts, Names: names, Server: crs.GetServer(), Ended: crs.GetEnded(), At: now.Add(-age)}
 }
 
 func (msg Sound) encode(now time.Time) *wire.Envelope {
