Several crashing parts at a high rate no longer acquit each other

What callers would see: with three crashing parts by turns, nine requests a second and engines that are away for 4 s, no part is refused while it lasts: 36 ends, 36 of 90 sound requests served.

Cause: the crashes of the others count as a common cause until their servers are known to have been started again, which takes seconds; at that rate more than three are always unknown. Evidence: budget-three-crashing-parts-at-a-high-rate and three-parts-at-a-high-rate.script, red before.

A request or part on board at crashes at three times, each a second apart, is implicated whatever crashes around them: a common cause would have had to occur as often. Of a fingerprint's crashes the first are kept beside the newest, 12 in all, so that a high rate doesn't hide the time between them.

Ruled out: no acquittal at all for servers that refuse connections (lost-zone.script: requests that meet a lost zone would be refused).

--- a/core/marks/judge.go
+++ b/core/marks/judge.go
@@ -37,7 +37,7 @@
 			continue
 		}
 		num := evi.unexplained(explained)
-		if num < max(evi.limit(), most) || tab.unrelated(evi.crashes, explained) > CrashLimit {
+		if num < max(evi.limit(), most) || tab.hasCommonCause(evi.crashes, explained) {
 			continue
 		}
 		if num > most {
@@ -93,10 +93,18 @@
 // unexplained counts the crashes that nothing else explains. Of a part's crashes, those at
 // the same time count once.
 func (evi evidence) unexplained(explained map[Crash]bool) int {
+	if evi.part {
+		return countApart(evi.crashes, explained, partSpacing)
+	}
+	return countApart(evi.crashes, explained, 0)
+}
+
+// countApart counts the crashes that nothing else explains and that lie at least spacing apart.
+func countApart(crashes []Crash, explained map[Crash]bool, spacing time.Duration) int {
 	num := 0
 	var last time.Time
-	for _, crs := range evi.crashes {
-		if explained[crs] || evi.part && num > 0 && crs.at.Sub(last) < partSpacing {
+	for _, crs := range crashes {
+		if explained[crs] || num > 0 && crs.at.Sub(last) < spacing {
 			continue
 		}
 		num++
@@ -186,7 +194,14 @@
 	if len(crashes) < CrashLimit || (evidence{crashes: crashes}).unexplained(explained) < CrashLimit {
 		return false
 	}
-	return tab.unrelated(crashes, explained) <= CrashLimit
+	return !tab.hasCommonCause(crashes, explained)
+}
+
+// hasCommonCause reports whether crashes may have a cause that they share with others: more
+// servers crashed around them, and they do not lie so far apart that it would have to occur as
+// often as they did.
+func (tab *Table) hasCommonCause(crashes []Crash, explained map[Crash]bool) bool {
+	return tab.unrelated(crashes, explained) > CrashLimit && countApart(crashes, explained, commonCauseSpacing) < CrashLimit
 }
 
 // explained returns the crashes that refused requests explain.
--- a/core/marks/marks.go
+++ b/core/marks/marks.go
@@ -37,10 +37,13 @@
 	// maxCrashes bounds the recorded crashes of all servers, maxOwnCrashes those of
 	// one fingerprint.
 	maxCrashes    = 128
-	maxOwnCrashes = 8
+	maxOwnCrashes = 12
 	// commonCauseWindow is the time before and after a request's own crashes in
 	// which other crashes count as having the same cause.
 	commonCauseWindow = 2 * time.Second
+	// commonCauseSpacing is how far apart crashes must lie for a common cause to have
+	// occurred more than once.
+	commonCauseSpacing = time.Second
 	// partSpacing is the least time between two crashes that both count against a part:
 	// servers that end at the same time have a cause of their own, and common parts are on
 	// board at most of them.
--- a/core/marks/table.go
+++ b/core/marks/table.go
@@ -26,7 +26,8 @@
 
 // evidence is what is known of one fingerprint.
 type evidence struct {
-	// crashes are the newest ones after soundAt, at most maxOwnCrashes, sorted by time.
+	// crashes are the first and the newest ones after soundAt, at most maxOwnCrashes, sorted
+	// by time.
 	crashes []Crash
 	// soundAt is when a request with the fingerprint was last answered; zero if unknown.
 	soundAt time.Time
@@ -48,7 +49,7 @@
 	if len(evi.wholes) < maxWholes && !slices.Contains(evi.wholes, req.Whole()) {
 		evi.wholes = append(slices.Clone(evi.wholes), req.Whole())
 	}
-	evi.crashes = insert(evi.crashes, crs, maxOwnCrashes)
+	evi.crashes = AddCrash(evi.crashes, crs)
 	return evi
 }
 
@@ -303,7 +304,8 @@
 			return old
 		}
 	}
-	tab.all = insert(tab.all, crs, maxCrashes)
+	all := insert(tab.all, crs)
+	tab.all = all[max(0, len(all)-maxCrashes):]
 	return crs
 }
 
@@ -368,11 +370,18 @@
 	return nil
 }
 
-// AddCrash returns evidence with one more crash, sorted by time. It does not
-// modify its argument.
-func AddCrash(crashes []Crash, crs Crash) []Crash { return insert(crashes, crs, maxOwnCrashes) }
+// AddCrash returns evidence with one more crash, sorted by time, of which it keeps the first
+// and the newest ones. It does not modify its argument.
+func AddCrash(crashes []Crash, crs Crash) []Crash {
+	all := insert(crashes, crs)
+	if len(all) > maxOwnCrashes {
+		all = slices.Delete(all, maxOwnCrashes/2, maxOwnCrashes/2+1)
+	}
+	return all
+}
 
-func insert(crashes []Crash, crs Crash, most int) []Crash {
+// insert returns the crashes with one more, sorted by time.
+func insert(crashes []Crash, crs Crash) []Crash {
 	all := make([]Crash, 0, len(crashes)+1)
 	for _, old := range crashes {
 		if old.duplicates(crs) {
@@ -382,7 +391,7 @@
 	}
 	all = append(all, crs)
 	sort.SliceStable(all, func(i, j int) bool { return all[i].at.Before(all[j].at) })
-	return all[max(0, len(all)-most):]
+	return all
 }
 
 // trim drops the fingerprints whose newest evidence is oldest.
--- a/io/edge/crashes.go
+++ b/io/edge/crashes.go
@@ -192,7 +192,7 @@
 	Fingerprint string `json:"fingerprint"`
 	// Part names the service and the part; empty for a whole request.
 	Part string `json:"part"`
-	// Crashes is the number of crashes that are kept, at most 8.
+	// Crashes is the number of crashes that are kept, at most 12.
 	Crashes int `json:"crashes"`
 	// SinceMs and LastMs are how long ago the first and the last of them happened.
 	SinceMs int64 `json:"since-ms"`
