A planned stop waits for the requests that the instance relays for others

What callers saw: an answer that came through another instance broke off when that one was stopped as planned.

Cause: the drain counted the instance's own callers alone and ended 0.7 s after the last. It was rare while only lost paths were relayed; since connections that are taken are relayed as well, it would come without any fault.

Requests of other instances count as in flight.

Found by asking what else relays meet in quiet times.

--- a/io/edge/node.go
+++ b/io/edge/node.go
@@ -101,6 +101,7 @@
 	callerLis net.Listener
 	readyLis  net.Listener
 	peerLis   net.Listener
+	rly       *relay
 	// metricsLis is nil if no metrics are served.
 	metricsLis net.Listener
 }
@@ -142,9 +143,9 @@
 	nod.srv = entry.New(set.AdvertisedAddr, set.Zone, nod.ctl, dep.Dialect, nod.poo, dep.Clock, dep.Log, nod.gau).WithTracer(dep.Tracer)
 	nod.ctl.causesFound = nod.srv.CancelRefused
 	nod.ctl.accounts.usage = nod.srv.Usage
-	rly := newRelay(nod.ctl, nod.transport, nod.poo, dep.Dialect, dep.Clock, nod.gau)
-	nod.poo.RelayWith(rly, func() { nod.ctl.post(evPaths{}) })
-	nod.transport.SetRelayHandler(rly)
+	nod.rly = newRelay(nod.ctl, nod.transport, nod.poo, dep.Dialect, dep.Clock, nod.gau)
+	nod.poo.RelayWith(nod.rly, func() { nod.ctl.post(evPaths{}) })
+	nod.transport.SetRelayHandler(nod.rly)
 	nod.registerGauges()
 	nod.buildServers()
 	return nod, nil
@@ -234,7 +235,7 @@
 // drained succeeds even if connections without a request are left: callers open
 // some ahead of need, and the HTTP server waits for them as it does for busy ones.
 func (nod *Node) stopResult(err error) error {
-	if errors.Is(err, context.DeadlineExceeded) && nod.drained.Load() && nod.srv.Active() == 0 {
+	if errors.Is(err, context.DeadlineExceeded) && nod.drained.Load() && nod.active() == 0 {
 		nod.dep.Log.Log("idle-connections-left", lines.Fields{"name": nod.set.Name})
 		return nil
 	}
@@ -260,6 +261,9 @@
 	}
 }
 
+// active returns the number of requests in flight, of callers and of other instances.
+func (nod *Node) active() int64 { return nod.srv.Active() + nod.rly.inFlight.Load() }
+
 // Stop starts a planned stop, as a signal does.
 func (nod *Node) Stop() error { return nod.app.Stop() }
 
@@ -273,7 +277,7 @@
 // is in flight or the grace time is nearly over.
 func (nod *Node) drain(context.Context) error {
 	start := nod.dep.Clock.Now()
-	nod.dep.Log.Log("stopping", lines.Fields{"name": nod.set.Name, "active": nod.srv.Active()})
+	nod.dep.Log.Log("stopping", lines.Fields{"name": nod.set.Name, "active": nod.active()})
 	nod.ctl.post(evStop{})
 	grace := nod.set.Grace
 	if grace == 0 {
@@ -289,13 +293,13 @@
 		_ = nod.dep.Clock.Sleep(context.Background(), drainPollInterval)
 		now := nod.dep.Clock.Now()
 		elapsed := now.Sub(start)
-		if nod.srv.Active() > 0 {
+		if nod.active() > 0 {
 			lastActive = now
 		}
 		if !closing && elapsed > closeAfter {
 			closing = true
 			nod.ctl.post(evStop{closing: true, closingAt: start.Add(drainLimit)})
-			nod.dep.Log.Log("closing", lines.Fields{"connections": nod.callerConns.OpenConns(), "active": nod.srv.Active()})
+			nod.dep.Log.Log("closing", lines.Fields{"connections": nod.callerConns.OpenConns(), "active": nod.active()})
 		}
 		if closing {
 			// Closes idle connections now, so that no request of their callers
@@ -307,7 +311,7 @@
 		if elapsed > drainLimit || closing && now.Sub(lastActive) > quietPeriod && elapsed > closeAfter+quietPeriod {
 			nod.closeCallers(max(drainLimit-elapsed, 0) + callerCloseTimeout)
 			nod.drained.Store(true)
-			nod.dep.Log.Log("drained", lines.Fields{"took": nod.dep.Clock.Now().Sub(start).Milliseconds(), "active": nod.srv.Active()})
+			nod.dep.Log.Log("drained", lines.Fields{"took": nod.dep.Clock.Now().Sub(start).Milliseconds(), "active": nod.active()})
 			return nil
 		}
 	}
@@ -322,7 +326,7 @@
 	dog := nod.dep.Clock.StartWatchdog(timeout, cancel)
 	defer dog.Stop()
 	if num := nod.callerConns.Drain(ctx); num > 0 {
-		nod.dep.Log.Log("caller-connections-cut", lines.Fields{"connections": num, "active": nod.srv.Active()})
+		nod.dep.Log.Log("caller-connections-cut", lines.Fields{"connections": num, "active": nod.active()})
 	}
 }
 
--- a/io/edge/stop_test.go
+++ b/io/edge/stop_test.go
@@ -100,7 +100,7 @@
 		_ = wri.Wait()
 		t.Logf("log:\n%s", out)
 	})
-	nod := &Node{
+	nod := &Node{rly: &relay{},
 		set: Settings{CallerAddr: callers.Addr().String(), ReadyAddr: ready.Addr().String()}, dep: Dependencies{Clock: clock.System{}, Log: log},
 		ctl: ctl, grp: sto.grp, gau: gau, callerLis: sto.lis, readyLis: ready,
 	}
