--- a/stand/field/crashing.go
+++ b/stand/field/crashing.go
@@ -68,7 +68,9 @@
 // start.
 func (inj *injector) makeCrash(ser *server, crs *fakes.Crashes, keys map[*server]string) {
 	clu := inj.cluster
+	clu.mu.Lock()
 	keys[ser] = "servers/" + ser.fake.ID
+	clu.mu.Unlock()
 	ser.fake.SetCrashes(crs, inj.drawDuration()/2, func(id string) {
 		clu.mu.Lock()
 		old := keys[ser]
