--- a/cmd/lovagestream/causes_test.go
+++ b/cmd/lovagestream/causes_test.go
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Causes are printed and lifted, and an instance's error is told with its address.
+// Causes are printed and lifted, and an instance's error is printed.
 func TestCauses(t *testing.T) {
 	lifted := ""
 	srv := httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -121,7 +121,7 @@
 	causes    map[marks.Fingerprint]bool
 	partNames map[marks.Fingerprint]string
 	// sounds are answers to requests that were in flight at crashes, for the peers that
-	// haven't heard of such an answer by soundsDue.
+	// know of no such answer by soundsDue.
 	sounds    map[uint64]time.Time
 	soundsDue time.Time
 	// wrongServers are servers at whose address another server answered, with the
--- a/io/edge/events.go
+++ b/io/edge/events.go
@@ -220,7 +220,7 @@
 		ctl.storeFailed = 0
 	}
 	if ctl.storeFailing() != failing {
-		// The next tick tells the peers.
+		// The next tick sends a heartbeat.
 		ctl.heartbeatAt = time.Time{}
 	}
 	if evt.err != nil {
