--- a/review/play/client.go
+++ b/review/play/client.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"time"
 
@@ -28,12 +29,17 @@
 	signed bool
 	body   string
 	err    error
+	// kept is set if the request went over a connection that had carried others.
+	kept bool
+	took time.Duration
 }
 
 // send sends one request and reads the answer.
 func (cli *client) send(ctx context.Context, front, method, target, host, id string, wait time.Duration, fields map[string]string, body string) answer {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
+	kept, begun := false, cli.clk.Now()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(inf httptrace.GotConnInfo) { kept = inf.Reused }})
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+front+target, strings.NewReader(body))
 	if err != nil {
 		return answer{err: err}
@@ -47,12 +53,12 @@
 	cli.rec.line("sent", "%s %s %s to %s", id, method, target, front)
 	res, err := cli.cli.Do(req)
 	if err != nil {
-		cli.rec.line("answered", "%s: %v", id, err)
-		return answer{err: err}
+		cli.rec.line("answered", "%s: no answer on a connection kept=%v after %v: %v", id, kept, cli.clk.Now().Sub(begun), err)
+		return answer{err: err, kept: kept, took: cli.clk.Now().Sub(begun)}
 	}
 	defer func() { _ = res.Body.Close() }()
 	got, err := io.ReadAll(res.Body)
-	ans := answer{status: res.StatusCode, signed: res.Header.Get("X-Lovagestream-Origin-Signature") != "", body: string(got), err: err}
+	ans := answer{status: res.StatusCode, signed: res.Header.Get("X-Lovagestream-Origin-Signature") != "", body: string(got), err: err, kept: kept, took: cli.clk.Now().Sub(begun)}
 	cli.rec.line("answered", "%s: status %d, signed %v, %d bytes, error %v", id, ans.status, ans.signed, len(got), err)
 	return ans
 }
--- a/review/play/latestage.go
+++ b/review/play/latestage.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,16 +33,25 @@
 	rnd    *rand.Rand
 }
 
+// begin begins a spell at garbleShare of the servers, the first ones of the list.
 func (gar *garbler) begin(ids []string) {
 	gar.mu.Lock()
 	defer gar.mu.Unlock()
 	gar.on, gar.chosen = true, map[string]bool{}
-	gar.rnd.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
 	for _, id := range ids[:int(garbleShare*float64(len(ids)))] {
 		gar.chosen[id] = true
 	}
 }
 
+// shuffled returns the servers in another order.
+func (gar *garbler) shuffled(ids []string) []string {
+	gar.mu.Lock()
+	defer gar.mu.Unlock()
+	out := slices.Clone(ids)
+	gar.rnd.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out
+}
+
 func (gar *garbler) end() {
 	gar.mu.Lock()
 	defer gar.mu.Unlock()
@@ -133,7 +143,7 @@
 	for range garbleTimes {
 		_ = clk.Sleep(grp.Context(), garblePause)
 		if trouble {
-			gar.begin(stageIDs)
+			gar.begin(gar.shuffled(stageIDs))
 			rec.line("garble", "begins: %.0f%% of the stage servers, %.0f%% of their answers", 100*garbleShare, 100*garbleDose)
 		}
 		_ = clk.Sleep(grp.Context(), garbleTime)
--- a/review/play/main.go
+++ b/review/play/main.go
@@ -21,6 +21,7 @@
 // takes place.
 var cases = map[string]func(ctx context.Context, path string, trouble bool) (broken bool, err error){
 	"late-stage-answer": lateStageAnswer,
+	"head-before-event": headBeforeEvent,
 }
 
 func main() {
--- a/review/play/server.go
+++ b/review/play/server.go
@@ -22,6 +22,8 @@
 	status int
 	fields [][2]string
 	body   []byte
+	// unnamed responses don't name the request.
+	unnamed bool
 }
 
 // bytes returns the response with a length.
@@ -137,7 +139,7 @@
 	} else if rsp = srv.work(ctx, srv, con, req, body); rsp == nil {
 		return nil
 	}
-	if id := req.Header.Get("X-Lovagestream-Request-Id"); id != "" {
+	if id := req.Header.Get("X-Lovagestream-Request-Id"); id != "" && !rsp.unnamed {
 		rsp.fields = append(rsp.fields, [2]string{"X-Lovagestream-Request-Id", id})
 	}
 	rsp.fields = append(rsp.fields, [2]string{"Keep-Alive", "timeout=" + strconv.Itoa(int(idleTimeout.Seconds()))})
