--- a/review/play/main.go
+++ b/review/play/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(ctx context.Context, path string, trouble bool) (broken bool, err error){
 	"late-stage-answer": lateStageAnswer,
 	"head-before-event": headBeforeEvent,
+	"version-in-place":  versionInPlace,
 }
 
 func main() {
--- a/review/play/server.go
+++ b/review/play/server.go
@@ -58,7 +58,13 @@
 
 	mu  sync.Mutex
 	seq int64
-	lis net.Listener
+	// version is the version of the software, born the start; 0 if the entry doesn't say it.
+	version string
+	born    int64
+	lis     net.Listener
+	conns   map[net.Conn]bool
+	// beatAt is when the server writes its entry next.
+	beatAt time.Time
 }
 
 // listen opens the server's listener on a free port, or again on its address.
@@ -71,7 +77,12 @@
 	if err != nil {
 		return err
 	}
-	srv.address, srv.lis = lis.Addr().String(), lis
+	srv.mu.Lock()
+	srv.address, srv.lis, srv.conns = lis.Addr().String(), lis, map[net.Conn]bool{}
+	if srv.version == "" {
+		srv.version = "v1"
+	}
+	srv.mu.Unlock()
 	srv.grp.Go(func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, func() { _ = lis.Close() })
 		defer stop()
@@ -80,6 +91,9 @@
 			if err != nil {
 				return nil
 			}
+			srv.mu.Lock()
+			srv.conns[con] = true
+			srv.mu.Unlock()
 			srv.grp.Go(func(ctx context.Context) error {
 				srv.serve(ctx, con)
 				return nil
@@ -97,7 +111,12 @@
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() { _ = con.Close() })
 	defer stop()
-	defer func() { _ = con.Close() }()
+	defer func() {
+		_ = con.Close()
+		srv.mu.Lock()
+		defer srv.mu.Unlock()
+		delete(srv.conns, con)
+	}()
 	rdr := bufio.NewReader(con)
 	var again []byte
 	for {
@@ -151,20 +170,72 @@
 	srv.mu.Lock()
 	defer srv.mu.Unlock()
 	srv.seq++
-	doc, _ := json.Marshal(map[string]any{
-		"service": srv.service, "address": srv.address, "zone": srv.zone, "version": "v1", "slots": srv.slots, "state": state, "coldRemainingMs": 0, "sequence": srv.seq,
-	})
+	ent := map[string]any{
+		"service": srv.service, "address": srv.address, "zone": srv.zone, "version": srv.version, "slots": srv.slots, "state": state, "coldRemainingMs": 0, "sequence": srv.seq,
+	}
+	if srv.born > 0 {
+		ent["born"] = srv.born
+	}
+	doc, _ := json.Marshal(ent)
 	return doc
 }
 
+// stop ends the server as the end of its process does.
+func (srv *server) stop() {
+	srv.mu.Lock()
+	defer srv.mu.Unlock()
+	_ = srv.lis.Close()
+	for con := range srv.conns {
+		_ = con.Close()
+	}
+	srv.beatAt = srv.clk.Now().Add(time.Hour)
+}
+
+// startAgain starts the server under its ID and at its address with other software. It writes
+// its entry after a time.
+func (srv *server) startAgain(version string, entryAfter time.Duration) error {
+	srv.mu.Lock()
+	srv.version, srv.born, srv.seq = version, srv.clk.Now().UnixMilli(), 0
+	srv.mu.Unlock()
+	err := srv.listen("")
+	srv.mu.Lock()
+	defer srv.mu.Unlock()
+	srv.beatAt = srv.clk.Now().Add(entryAfter)
+	return err
+}
+
+func (srv *server) software() string {
+	srv.mu.Lock()
+	defer srv.mu.Unlock()
+	return srv.version
+}
+
+// beatDue reports whether the server is to write its entry now.
+func (srv *server) beatDue() bool {
+	srv.mu.Lock()
+	defer srv.mu.Unlock()
+	now := srv.clk.Now()
+	if now.Before(srv.beatAt) {
+		return false
+	}
+	srv.beatAt = now.Add(beatPeriod)
+	return true
+}
+
 // beatPeriod is the period in which servers write their entries.
 const beatPeriod = 1200 * time.Millisecond
 
 // register writes the server's entry until the context ends.
 func (srv *server) register(sto *store) {
-	sto.put("servers/"+srv.id, srv.entry("ready"))
+	const step = 20 * time.Millisecond
+	beat := func(time.Time) {
+		if srv.beatDue() {
+			sto.put("servers/"+srv.id, srv.entry("ready"))
+		}
+	}
+	beat(srv.clk.Now())
 	srv.grp.Go(func(ctx context.Context) error {
-		srv.clk.Every(ctx, beatPeriod, func(time.Time) { sto.put("servers/"+srv.id, srv.entry("ready")) })
+		srv.clk.Every(ctx, step, beat)
 		return nil
 	})
 }
