An instance short of processor time accepts only what it can serve

Callers saw: while most new connections went to one instance, it read their requests and refused them.

Cause: every connection was accepted and read, whatever could be done; the lateness that followed was read as a pause of the process (refusals unverified-after-pause), as silent members, as failing servers. The coordinator, held to the same share, was kept late by the others' messages alone.

A pause is one in which no tick was made, not one in which none was applied; silence of members is excused by the time in which nothing was read. An instance late for 0.5 s says so in its heartbeats, and another coordinates and relays. Metrics lateness-ms and connections-per-second-limit, lines instance-late, instance-in-time.

Ruled out: not being ready (two checks, then the next instance gets everything); accepting and closing (costs processor time, and bodies fill the link); the same limit on the own path, tried and taken back: its callers don't open another connection when one is refused.

--- a/core/member/hubs.go
+++ b/core/member/hubs.go
@@ -138,7 +138,7 @@
 	for _, inf := range set.others {
 		switch {
 		case inf.StartedAt == 0:
-		case set.isLive(now, inf) && inf.heartbeat.Ready && !inf.heartbeat.Leaving && !inf.heartbeat.ServersLost:
+		case set.isLive(now, inf) && inf.heartbeat.Ready && !inf.heartbeat.Leaving && !inf.heartbeat.ServersLost && !inf.heartbeat.Overloaded:
 			out = append(out, reach.Candidate{Address: inf.Address, Zone: inf.Zone, Linked: true})
 		case !mesh && !inf.linked && now.Sub(inf.lastFailed) > hubFailureTimeout:
 			out = append(out, reach.Candidate{Address: inf.Address, Zone: inf.Zone})
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -43,6 +43,9 @@
 	ServerDigest  uint64
 	// ServersLost is set if the instance can't connect to the backend servers.
 	ServersLost bool
+	// Overloaded instances are short of processor time. They coordinate only if all
+	// are overloaded.
+	Overloaded bool
 }
 
 const (
@@ -102,6 +105,8 @@
 	heartbeat Heartbeat
 	linked    bool
 	lastHeard time.Time
+	// excused is the part of the time since lastHeard in which this instance read nothing.
+	excused time.Duration
 	// heartbeatAt is when its last full heartbeat arrived; repeats carry no new
 	// state.
 	heartbeatAt time.Time
@@ -190,7 +195,7 @@
 	inf.Member = mem
 	inf.lastFailed = time.Time{}
 	inf.linked = true
-	inf.lastHeard = now
+	inf.lastHeard, inf.excused = now, 0
 	inf.lastKnown = now
 }
 
@@ -209,10 +214,10 @@
 	if inf == nil {
 		return false
 	}
-	changed := inf.heartbeat.Ready != bea.Ready || inf.heartbeat.Leaving != bea.Leaving
+	changed := inf.heartbeat.Ready != bea.Ready || inf.heartbeat.Leaving != bea.Leaving || inf.heartbeat.Overloaded != bea.Overloaded
 	inf.heartbeat = bea
 	inf.heartbeatAt = now
-	inf.lastHeard = now
+	inf.lastHeard, inf.excused = now, 0
 	inf.lastKnown = now
 	return changed
 }
@@ -224,11 +229,19 @@
 	if inf == nil {
 		return Heartbeat{StoreAge: -1}
 	}
-	inf.lastHeard = now
+	inf.lastHeard, inf.excused = now, 0
 	inf.lastKnown = now
 	return inf.heartbeat
 }
 
+// ExcuseSilence notes that this instance read nothing for a time, since it was late
+// itself. Members may be silent for as much longer, up to twice as long as usual.
+func (set *Set) ExcuseSilence(late time.Duration) {
+	for _, inf := range set.others {
+		inf.excused = min(inf.excused+late, set.maxSilence())
+	}
+}
+
 // HeartbeatInterval returns the heartbeat interval.
 func (set *Set) HeartbeatInterval() time.Duration {
 	return min(maxHeartbeatInterval, minHeartbeatInterval*time.Duration(max(minIntervalFleet, len(set.others)+1))/minIntervalFleet)
@@ -240,7 +253,7 @@
 }
 
 func (set *Set) isLive(now time.Time, inf *peerInfo) bool {
-	return inf.linked && now.Sub(inf.lastHeard) <= set.maxSilence()
+	return inf.linked && now.Sub(inf.lastHeard)-inf.excused <= set.maxSilence()
 }
 
 // Live reports whether a member is linked and was heard recently.
@@ -373,13 +386,17 @@
 // Coordinator returns the address of the member that makes the calls to the
 // backend servers. It is this instance if no other qualifies.
 func (set *Set) Coordinator(now time.Time) string {
-	best, found := set.self, set.heartbeat.Ready && !set.heartbeat.Leaving
+	best, found, overloaded := set.self, set.heartbeat.Ready && !set.heartbeat.Leaving, set.heartbeat.Overloaded
 	for _, inf := range set.others {
 		if !set.isLive(now, inf) || inf.heartbeat.Leaving || !inf.heartbeat.Ready {
 			continue
 		}
-		if !found || precedes(inf.Member, best) {
-			best, found = inf.Member, true
+		better := precedes(inf.Member, best)
+		if inf.heartbeat.Overloaded != overloaded {
+			better = overloaded
+		}
+		if !found || better {
+			best, found, overloaded = inf.Member, true, inf.heartbeat.Overloaded
 		}
 	}
 	return best.Address
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -331,3 +331,28 @@
 	set.Unlinked(at(40*time.Millisecond), "big")
 	require.False(t, set.IsHub(at(50*time.Millisecond), "big"), "it failed since")
 }
+
+// An overloaded member must not coordinate or relay while another can.
+func TestOverloadedMemberCoordinatesLast(t *testing.T) {
+	set := threeMembers()
+	set.HeartbeatReceived(start, "c", Heartbeat{Ready: true, Overloaded: true})
+	require.Equal(t, "a", set.Coordinator(start))
+	require.Len(t, set.Relays(start), 1)
+	set.HeartbeatReceived(start, "a", Heartbeat{Ready: true, Overloaded: true})
+	require.Equal(t, "b", set.Coordinator(start))
+	set.SetHeartbeat(Heartbeat{Ready: true, Overloaded: true})
+	require.Equal(t, "c", set.Coordinator(start), "all are overloaded")
+}
+
+// An instance that read nothing must not take the others for silent, nor excuse a member
+// that is gone for long.
+func TestOwnLatenessExcusesSilence(t *testing.T) {
+	set := threeMembers()
+	require.False(t, set.Live(at(1200*time.Millisecond), "a"))
+	set.ExcuseSilence(700 * time.Millisecond)
+	require.True(t, set.Live(at(1200*time.Millisecond), "a"))
+	set.ExcuseSilence(time.Minute)
+	require.False(t, set.Live(at(2*time.Second), "a"))
+	set.HeartbeatReceived(at(2*time.Second), "a", Heartbeat{Ready: true})
+	require.False(t, set.Live(at(3200*time.Millisecond), "a"), "the excuse is of an earlier silence")
+}
--- a/core/table/table.go
+++ b/core/table/table.go
@@ -208,6 +208,20 @@
 	return longest
 }
 
+// ShortestLatencyTarget returns the shortest LatencyTarget of the routes that have one,
+// or 0.
+func (tab *Table) ShortestLatencyTarget() time.Duration {
+	shortest := time.Duration(0)
+	for _, rous := range tab.routes {
+		for _, rou := range rous {
+			if tgt := rou.LatencyTarget; tgt > 0 && (shortest == 0 || tgt < shortest) {
+				shortest = tgt
+			}
+		}
+	}
+	return shortest
+}
+
 // EventGapTarget returns the shortest EventGapTarget of the routes to a service,
 // or 0 if none has one.
 func (tab *Table) EventGapTarget(service string) time.Duration {
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -12,6 +12,7 @@
 	"lovagestream/core/sched"
 	"lovagestream/core/stock"
 	"lovagestream/core/table"
+	"lovagestream/io/accept"
 	"lovagestream/io/clock"
 	"lovagestream/io/entry"
 	"lovagestream/io/follow"
@@ -180,10 +181,13 @@
 	// process. Older links deliver messages that were sent before it.
 	relinked map[string]bool
 	// readConfig and readServers are set once each was read since resumedAt.
-	readConfig    bool
-	readServers   bool
+	readConfig  bool
+	readServers bool
+	// ticked is when the last tick was applied. due is the last one made; it belongs to
+	// the goroutine that makes them.
 	ticked        time.Time
-	boot          time.Duration
+	due           evTick
+	throttle      *accept.Throttle
 	sync          *syncState
 	sent          sentHeartbeat
 	membersAt     time.Time
@@ -215,7 +219,7 @@
 		mem:      member.NewSet(member.Member{Address: set.AdvertisedAddr, Zone: set.Zone, StartedAt: born, MilliCPU: set.MilliCPU}),
 		registry: stock.NewRegistry(), retryBudget: sched.NewRetryBudget(set.RetryRatio, set.RetrySlack, set.RetryWindow), limits: newLimits(), pauses: newPauses(), accounts: newAccounts(), streams: newStreams(),
 		wrongServers: map[string]stock.Revision{}, pending: map[string]*pendingRequest{}, sync: newSyncState(), sent: sentHeartbeat{missed: map[string]bool{}}, large: make(chan struct{}, largeMessages), ended: make(chan struct{}), relinked: map[string]bool{}, frees: map[string][]string{}, losses: reach.NewLosses(), coldUntil: map[string]time.Time{}, crashed: map[string]stock.Entry{}, sounds: map[uint64]time.Time{}, partNames: map[marks.Fingerprint]string{}, causesFound: func(*marks.Table) {}, unreadable: newUnreadable(), badEntries: newUnreadable(), piecesRequested: map[string]int{},
-		verified: true, startedAt: now, ticked: now, boot: bootTime(), coordinator: set.AdvertisedAddr, rereadStore: func() {},
+		verified: true, startedAt: now, ticked: now, due: evTick{due: now, boot: bootTime()}, coordinator: set.AdvertisedAddr, rereadStore: func() {}, throttle: accept.NewThrottle(clk),
 	}
 	ctl.sched = sched.New(ctl, ctl.retryBudget, ctl.limits.limiter)
 	ctl.sched.DivideByAccount(!set.UndividedAccounts)
@@ -263,17 +267,6 @@
 	}
 }
 
-// Tick posts tick events until the context ends.
-func (ctl *Control) Tick(ctx context.Context) error {
-	ctl.clk.Every(ctx, tickPeriod, func(time.Time) {
-		select {
-		case ctl.events <- evTick{}:
-		default:
-		}
-	})
-	return nil
-}
-
 // Duty returns whether this instance reads the store.
 func (ctl *Control) Duty() follow.Duty { return *ctl.readDuty.Load() }
 
@@ -299,6 +292,7 @@
 		ClosingAt: ctl.closingAt, Marks: ctl.marks, Live: live, Known: known, SilentZones: ctl.unreachable,
 		LimitedServers: ctl.limits.servers(), BrittleServers: ctl.limits.limiter.BrittleServers(), LimitedServices: ctl.limits.services(now, ctl.servers),
 		Retries:           entry.RetryLimits{Ratio: ctl.set.RetryRatio, Slack: ctl.set.RetrySlack, Window: ctl.set.RetryWindow},
+		CloseConnections:  ctl.throttle.Limited(),
 		UndividedAccounts: ctl.set.UndividedAccounts, Notices: ctl.accounts.byResource(now),
 	}
 	ctl.view.Store(viw)
--- a/io/edge/duties.go
+++ b/io/edge/duties.go
@@ -26,15 +26,8 @@
 	return time.Duration(spc.Nano())
 }
 
-type evTick struct{}
-
-func (evTick) apply(ctl *Control, now time.Time) {
-	boot := bootTime()
-	gap := max(boot-ctl.boot, now.Sub(ctl.ticked))
-	ctl.boot, ctl.ticked = boot, now
-	if gap > pauseThreshold {
-		ctl.resume(now, gap)
-	}
+func (evt evTick) apply(ctl *Control, now time.Time) {
+	ctl.observeLateness(now, evt)
 	if ctl.sched.Jobs() > 0 {
 		ctl.sched.Tick(now)
 	}
@@ -119,7 +112,7 @@
 }
 
 func (ctl *Control) heartbeat(now time.Time) mesh.Heartbeat {
-	hbt := member.Heartbeat{Ready: ctl.tab != nil && ctl.registry.Len() > 0 && ctl.verified, Leaving: ctl.stopping, StoreAge: -1, StoreFailing: ctl.storeFailing(), ServersLost: ctl.serversLost}
+	hbt := member.Heartbeat{Ready: ctl.tab != nil && ctl.registry.Len() > 0 && ctl.verified, Leaving: ctl.stopping, StoreAge: -1, StoreFailing: ctl.storeFailing(), ServersLost: ctl.serversLost, Overloaded: ctl.throttle.Overloaded()}
 	if !ctl.storeAt.IsZero() {
 		hbt.StoreAge = now.Sub(ctl.storeAt)
 	}
@@ -143,7 +136,7 @@
 func (ctl *Control) sendHeartbeats(now time.Time) {
 	hbt := ctl.heartbeat(now)
 	sent := &ctl.sent
-	again := hbt.Ready == sent.last.Ready && hbt.Leaving == sent.last.Leaving && hbt.ConfigVersion == sent.last.ConfigVersion && hbt.ServerDigest == sent.last.ServerDigest && hbt.ServersLost == sent.last.ServersLost && hbt.StoreFailing == sent.last.StoreFailing &&
+	again := hbt.Ready == sent.last.Ready && hbt.Leaving == sent.last.Leaving && hbt.ConfigVersion == sent.last.ConfigVersion && hbt.ServerDigest == sent.last.ServerDigest && hbt.ServersLost == sent.last.ServersLost && hbt.StoreFailing == sent.last.StoreFailing && hbt.Overloaded == sent.last.Overloaded &&
 		ctl.storeAt.Sub(sent.storeAt) < storeAgeStep
 	if !again {
 		sent.last, sent.storeAt = hbt.Heartbeat, ctl.storeAt
--- a/io/edge/gauges.go
+++ b/io/edge/gauges.go
@@ -89,6 +89,8 @@
 		read("accounts-over-share", func(sta *stats) any { return overShareMetrics(sta.over, num) })
 	}
 	nod.gau.Read("requests-active", func() any { return nod.srv.Active() })
+	nod.gau.Read("lateness-ms", func() any { late, _ := nod.ctl.throttle.State(); return late.Milliseconds() })
+	nod.gau.Read("connections-per-second-limit", func() any { _, rate := nod.ctl.throttle.State(); return rate })
 	nod.gau.Read("connections-made", func() any { return nod.poo.Opened() })
 	nod.gau.Read("services-lost", func() any { return nod.poo.LostServices() })
 	nod.gau.Read("connects", func() any { return nod.poo.Connects() })
--- a/io/edge/node.go
+++ b/io/edge/node.go
@@ -99,9 +99,11 @@
 	callerConns *accept.Listener
 
 	callerLis net.Listener
-	readyLis  net.Listener
-	peerLis   net.Listener
-	rly       *relay
+	// gate is below callerLis.
+	gate     *accept.Gate
+	readyLis net.Listener
+	peerLis  net.Listener
+	rly      *relay
 	// metricsLis is nil if no metrics are served.
 	metricsLis net.Listener
 }
@@ -110,9 +112,6 @@
 func New(ctx context.Context, set Settings, dep Dependencies) (*Node, error) {
 	nod := &Node{set: set, dep: dep, grp: group.New(ctx), gau: gauge.New()}
 	var err error
-	if nod.callerLis, err = net.Listen("tcp", set.CallerAddr); err != nil {
-		return nil, errors.Wrap(err, "listen for callers")
-	}
 	if nod.readyLis, err = net.Listen("tcp", set.ReadyAddr); err != nil {
 		return nil, errors.Wrap(err, "listen for readiness probes")
 	}
@@ -135,6 +134,10 @@
 	}
 	born := dep.Clock.Now().UnixMilli()
 	nod.ctl = NewControl(set, dep.Clock, dep.Dialect, dep.Log, born)
+	if nod.gate, err = accept.Listen(set.CallerAddr, dep.Clock, nod.ctl.throttle, nod.logListenError); err != nil {
+		return nil, err
+	}
+	nod.callerLis = nod.gate
 	nod.transport = mesh.New(nod.ctl.mem.Self(), nod.ctl, dep.Clock, dlr.DialContext, nod.grp)
 	nod.ctl.lnk = nod.transport
 	nod.ctl.calls = newStageCaller(dep.Dialect, nod.poo, dep.Clock, nod.grp, dep.Log, nod.gau, nod.ctl)
@@ -192,6 +195,25 @@
 	nod.dep.Log.Log("closed-under-request", lines.Fields{"caller": caller.String()})
 }
 
+// logListenError logs that the listener for callers could not be opened again.
+func (nod *Node) logListenError(err error) {
+	nod.dep.Log.Log("listen-failed", lines.Fields{"error": err.Error()})
+}
+
+// watchLateness refuses callers' connections while the process is short of processor time.
+func (nod *Node) watchLateness(ctx context.Context) error {
+	nod.ctl.throttle.Watch(ctx, func(lateness time.Duration, late bool) {
+		_, rate := nod.ctl.throttle.State()
+		event := "instance-in-time"
+		if late {
+			event = "instance-late"
+			nod.gate.Refuse()
+		}
+		nod.dep.Log.Log(event, lines.Fields{"lateness": lateness.Milliseconds(), "connections-per-second": rate})
+	})
+	return nil
+}
+
 // endpoint sets the server's address. Without it kratos looks for one among the
 // machine's network interfaces, which small machines don't list.
 func endpoint(address string) khttp.ServerOption {
@@ -214,6 +236,7 @@
 	out.Go(nod.dep.Log.Run)
 	nod.grp.Go(nod.ctl.Run)
 	nod.grp.Go(nod.ctl.Tick)
+	nod.grp.Go(nod.watchLateness)
 	nod.grp.Go(nod.rdr.FollowConfig)
 	nod.grp.Go(nod.rdr.FollowServers)
 	nod.grp.Go(func(ctx context.Context) error { return nod.transport.Serve(ctx, nod.peerLis) })
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -170,7 +170,7 @@
 	srv.active.Add(1)
 	defer srv.active.Add(-1)
 	arq := &activeRequest{srv: srv, wri: wri, req: &call.Request{}, viw: srv.ctl.View(), arrived: srv.clk.Now()}
-	if !arq.viw.ClosingAt.IsZero() || frame.MustClose(htr) {
+	if !arq.viw.ClosingAt.IsZero() || arq.viw.CloseConnections || frame.MustClose(htr) {
 		wri.Header().Set("Connection", "close")
 	}
 	ctx := htr.Context()
--- a/io/entry/view.go
+++ b/io/entry/view.go
@@ -39,6 +39,9 @@
 	// stop ends; it is set once callers' connections should be closed.
 	Stopping  bool
 	ClosingAt time.Time
+	// CloseConnections is set while the instance is short of processor time. Responses
+	// say that their connection closes, since callers' next ones may meet others.
+	CloseConnections bool
 	// Marks holds the evidence against requests that crash servers.
 	Marks *marks.Table
 	// Live is the number of live entry instances, Known the number of all
--- a/io/mesh/message.go
+++ b/io/mesh/message.go
@@ -187,7 +187,7 @@
 	if msg.StoreAge < 0 {
 		age = -1
 	}
-	return &wire.Envelope{Body: &wire.Envelope_Beat{Beat: &wire.Beat{Ready: msg.Ready, Leaving: msg.Leaving, Fresh: age, Version: msg.ConfigVersion, Digest: msg.ServerDigest, ServersLost: msg.ServersLost, StoreFailing: msg.StoreFailing}}}
+	return &wire.Envelope{Body: &wire.Envelope_Beat{Beat: &wire.Beat{Ready: msg.Ready, Leaving: msg.Leaving, Fresh: age, Version: msg.ConfigVersion, Digest: msg.ServerDigest, ServersLost: msg.ServersLost, StoreFailing: msg.StoreFailing, Overloaded: msg.Overloaded}}}
 }
 
 func (HeartbeatRepeat) encode(time.Time) *wire.Envelope {
@@ -526,7 +526,7 @@
 	switch bod := env.GetBody().(type) {
 	case *wire.Envelope_Beat:
 		age := time.Duration(bod.Beat.GetFresh()) * time.Millisecond
-		return Heartbeat{member.Heartbeat{Ready: bod.Beat.GetReady(), Leaving: bod.Beat.GetLeaving(), StoreAge: age, ConfigVersion: bod.Beat.GetVersion(), ServerDigest: bod.Beat.GetDigest(), ServersLost: bod.Beat.GetServersLost(), StoreFailing: bod.Beat.GetStoreFailing()}}
+		return Heartbeat{member.Heartbeat{Ready: bod.Beat.GetReady(), Leaving: bod.Beat.GetLeaving(), StoreAge: age, ConfigVersion: bod.Beat.GetVersion(), ServerDigest: bod.Beat.GetDigest(), ServersLost: bod.Beat.GetServersLost(), StoreFailing: bod.Beat.GetStoreFailing(), Overloaded: bod.Beat.GetOverloaded()}}
 	case *wire.Envelope_Again:
 		return HeartbeatRepeat{}
 	case *wire.Envelope_Members:
--- a/stand/world/cpu.go
+++ b/stand/world/cpu.go
@@ -13,6 +13,9 @@
 	// cpuPeriod is the period in which a process gets its share of processor time, as
 	// container runtimes have it.
 	cpuPeriod = 25 * time.Millisecond
+	// cpuBurst is the number of periods whose unused parts are kept, so that a process gets
+	// its share also if the machine runs it, or this goroutine, late.
+	cpuBurst = 4
 	// cpuCheckInterval is how often the processor time that was used is read.
 	cpuCheckInterval = time.Millisecond
 )
@@ -28,7 +31,7 @@
 			if periods > 0 {
 				start = start.Add(periods * cpuPeriod)
 				part := time.Duration(share * float64(cpuPeriod))
-				quota = min(quota+periods*part, part)
+				quota = min(quota+periods*part, cpuBurst*part)
 			}
 			now := prc.cpuTime()
 			quota -= now - used
