The retry budget goes to the next coordinator, and starts don't renew it

Cause: the budget was kept in the memory of whoever coordinates. Its successor, and an instance that starts, began with nothing spent and the whole fixed part; requests handed over counted as new ones once more. Class: a limit over time kept by whoever has a duty, while the duty moves.

Who doesn't know the last window uses a quarter of its fixed part until one has passed, for plain services too. Resubmitted requests aren't counted again.

Ruled out: uncharged moves, sends without a byte written, relays, each read in the code.

--- a/core/sched/budget.go
+++ b/core/sched/budget.go
@@ -1,6 +1,10 @@
 package sched
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // RetryBudget limits how many requests of a service are retried within a
 // sliding window: a ratio of its first attempts plus a fixed number. The limit
@@ -19,6 +23,9 @@
 	// undivided is set if all accounts count as one.
 	undivided bool
 	buckets   map[string][]bucket
+	// knownSince is the time since which all retries of the fleet that this instance
+	// decides on are known to it.
+	knownSince time.Time
 }
 
 // bucket counts what happened in a part of the window.
@@ -60,6 +67,10 @@
 // retries.
 func (bud *RetryBudget) SetShare(share float64) { bud.share = share }
 
+// SetKnownSince notes that retries before a time are not known here: another instance
+// allowed them, or this one before its start.
+func (bud *RetryBudget) SetKnownSince(at time.Time) { bud.knownSince = at }
+
 // DivideByAccount switches the bound on one account's retries on or off; it is on
 // by default.
 func (bud *RetryBudget) DivideByAccount(on bool) { bud.undivided = !on }
@@ -147,7 +158,7 @@
 		own += bkt.of(account)
 		several = several || bkt.several || bkt.account != account
 	}
-	limit := bud.ratio*float64(first)*budgetShare + bud.slack*bud.share*budgetShare
+	limit := bud.limit(now, first)
 	if !several {
 		return float64(retries+denied) <= limit
 	}
@@ -157,6 +168,72 @@
 	return left >= 0 && (own <= 1 || float64(own) <= accountFactor*left)
 }
 
+// limit returns the limit of retries, given the number of first attempts.
+func (bud *RetryBudget) limit(now time.Time, first int) float64 {
+	slack := bud.slack * bud.share
+	if now.Sub(bud.knownSince) < bud.window {
+		slack *= unknownShare
+	}
+	return budgetShare * (bud.ratio*float64(first) + slack)
+}
+
+// unknownShare is the part of the fixed number that may be used while the retries of the
+// last window aren't known: it may have been used up, and several instances may have
+// started since, one after the other.
+const unknownShare = 0.25
+
+// Usage is how much of its retry budget a service has used in the last window.
+type Usage struct {
+	First, Retries int
+	Limit          float64
+}
+
+// Usage returns the usage of all services.
+func (bud *RetryBudget) Usage(now time.Time) map[string]Usage {
+	out := map[string]Usage{}
+	for service := range bud.buckets {
+		var usg Usage
+		for _, bkt := range bud.trim(now, service) {
+			usg.First += bkt.first
+			usg.Retries += bkt.retries
+		}
+		usg.Limit = bud.limit(now, usg.First)
+		out[service] = usg
+	}
+	return out
+}
+
+// RetryCount is the number of first attempts and of retries of a service in a part of the
+// window that began an age ago.
+type RetryCount struct {
+	Service        string
+	Age            time.Duration
+	First, Retries int
+}
+
+// History returns the counts of the last window, for the next coordinator, and for how long
+// all retries are known.
+func (bud *RetryBudget) History(now time.Time) (counts []RetryCount, known time.Duration) {
+	for _, service := range slices.Sorted(maps.Keys(bud.buckets)) {
+		for _, bkt := range bud.trim(now, service) {
+			counts = append(counts, RetryCount{Service: service, Age: now.Sub(bkt.at), First: bkt.first, Retries: bkt.retries})
+		}
+	}
+	return counts, min(now.Sub(bud.knownSince), bud.window)
+}
+
+// Inherit replaces the counts by those of the coordinator before, which it sent at a time.
+func (bud *RetryBudget) Inherit(sent time.Time, counts []RetryCount, known time.Duration) {
+	clear(bud.buckets)
+	for _, cnt := range counts {
+		bud.buckets[cnt.Service] = append(bud.buckets[cnt.Service], bucket{at: sent.Add(-cnt.Age), first: cnt.First, retries: cnt.Retries})
+	}
+	for _, list := range bud.buckets {
+		slices.SortFunc(list, func(one, two bucket) int { return one.at.Compare(two.at) })
+	}
+	bud.knownSince = sent.Add(-known)
+}
+
 // budgetShare leaves a fifth of the budget unused, because other instances
 // count with windows that begin at other times and requests are in transit.
 const budgetShare = 0.8
--- a/core/sched/budget_test.go
+++ b/core/sched/budget_test.go
@@ -87,3 +87,45 @@
 	require.Positive(t, allowed)
 	require.LessOrEqual(t, len(bud.buckets["s"][0].byAccount), maxRetryAccounts+1)
 }
+
+// Instances that start one after the other, none of which knows what the others allowed,
+// must together stay within the fixed number.
+func TestStartsDoNotRenewTheRetryBudget(t *testing.T) {
+	const slack = 50
+	old := NewRetryBudget(0, slack, 10*time.Second)
+	old.SetShare(0.7)
+	now := start.Add(time.Hour)
+	allowed := spend(old, now, "", 500)
+	require.Greater(t, allowed, slack/2)
+	for num := range 3 {
+		now = now.Add(3 * time.Second)
+		bud := NewRetryBudget(0, slack, 10*time.Second)
+		bud.SetShare(0.7)
+		bud.SetKnownSince(now)
+		allowed += spend(bud, now, "", 500)
+		require.LessOrEqual(t, allowed, slack, "start %d", num+1)
+	}
+}
+
+// A coordinator must count what the one before it has allowed, in the time that is left of
+// the window, and have all of the budget after that.
+func TestNextCoordinatorInheritsTheRetryBudget(t *testing.T) {
+	old := NewRetryBudget(0.2, 20, 10*time.Second)
+	now := start.Add(time.Hour)
+	for range 100 {
+		old.Count(now, "s", "", false)
+	}
+	limit := spend(old, now, "", 500)
+	require.Equal(t, 32, limit)
+	for num := range 5 {
+		now = now.Add(time.Second)
+		counts, known := old.History(now)
+		next := NewRetryBudget(0.2, 20, 10*time.Second)
+		next.SetKnownSince(now)
+		next.Inherit(now, counts, known)
+		require.Zero(t, spend(next, now, "", 500), "coordinator %d", num+2)
+		old = next
+	}
+	now = now.Add(11 * time.Second)
+	require.Equal(t, 16, spend(old, now, "", 500))
+}
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -192,7 +192,7 @@
 		}
 		sch.endJob(now, old)
 	}
-	if !spc.Retry || !spc.Unsent {
+	if spc.Retry && !spc.Unsent || !spc.Retry && !spc.Resubmitted {
 		sch.retryBudget.Count(now, spc.Service, spc.Account, spc.Retry)
 	}
 	job, reason := sch.build(now, spc)
--- a/core/sched/types.go
+++ b/core/sched/types.go
@@ -59,6 +59,8 @@
 	// Unsent marks a retry of which no send has reached a server since it was placed.
 	// It doesn't count against the retry budget.
 	Unsent bool
+	// Resubmitted is set if another coordinator had the request before.
+	Resubmitted bool
 	// Version is the version of the software that the engine must have; empty for any.
 	Version string
 	// GoesOn is set if the request takes up a stream that is known to have begun. It
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -112,6 +112,7 @@
 	accounts    *accounts
 	streams     *streams
 	speeds      speeds
+	retries     retryCounts
 	marks       *marks.Table
 	// crashed are the entries of the servers that crashed, by their start.
 	crashed map[string]stock.Entry
@@ -221,6 +222,7 @@
 		wrongServers: map[string]stock.Revision{}, pending: map[string]*pendingRequest{}, sync: newSyncState(), sent: sentHeartbeat{missed: map[string]bool{}}, large: make(chan struct{}, largeMessages), ended: make(chan struct{}), relinked: map[string]bool{}, frees: map[string][]string{}, losses: reach.NewLosses(), coldUntil: map[string]time.Time{}, crashed: map[string]stock.Entry{}, sounds: map[uint64]time.Time{}, partNames: map[marks.Fingerprint]string{}, causesFound: func(*marks.Table) {}, unreadable: newUnreadable(), badEntries: newUnreadable(), piecesRequested: map[string]int{},
 		verified: true, startedAt: now, ticked: now, due: evTick{due: now, boot: bootTime()}, coordinator: set.AdvertisedAddr, rereadStore: func() {}, throttle: accept.NewThrottle(clk),
 	}
+	ctl.retryBudget.SetKnownSince(now)
 	ctl.sched = sched.New(ctl, ctl.retryBudget, ctl.limits.limiter)
 	ctl.sched.DivideByAccount(!set.UndividedAccounts)
 	ctl.retryBudget.DivideByAccount(!set.UndividedAccounts)
--- a/io/edge/duties.go
+++ b/io/edge/duties.go
@@ -39,6 +39,7 @@
 	ctl.shareStreams(now)
 	ctl.endLookups(now)
 	ctl.sendSounds(now)
+	ctl.shareRetries(now)
 	if now.Sub(ctl.heartbeatAt) >= ctl.mem.HeartbeatInterval() {
 		ctl.heartbeatAt = now
 		ctl.runPeriodic(now)
@@ -232,6 +233,7 @@
 // startCoordinating makes this instance the coordinator in place of another one.
 func (ctl *Control) startCoordinating(now time.Time, previous string) {
 	ctl.adoptSpeeds(now)
+	ctl.adoptRetries(now)
 	if ctl.mem.Live(now, previous) {
 		// The previous coordinator is live: it transfers its jobs and frees the
 		// results that it knows of.
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -92,7 +92,7 @@
 
 // New returns the server of the named entry instance in a zone.
 func New(name, zone string, ctl Control, cdc Codec, poo *conns.Pool, clk clock.Service, log *lines.Writer, gau *gauge.Metrics) *Server {
-	return &Server{ctl: ctl, cdc: cdc, poo: poo, clk: clk, log: log, gau: gau, zone: zone, name: name, pln: newPlainState(), waiting: waitingSends{sends: map[*mover]marks.Request{}}, counts: map[string]*AccountCount{}}
+	return &Server{ctl: ctl, cdc: cdc, poo: poo, clk: clk, log: log, gau: gau, zone: zone, name: name, pln: newPlainState(clk.Now()), waiting: waitingSends{sends: map[*mover]marks.Request{}}, counts: map[string]*AccountCount{}}
 }
 
 // WithTracer sets the tracer that makes spans of requests. It must be called
--- a/io/entry/plain.go
+++ b/io/entry/plain.go
@@ -29,10 +29,12 @@
 	locals map[string]*fair.Local
 	budget *sched.RetryBudget
 	limits RetryLimits
+	// started is when the instance started. It doesn't know what an earlier run sent.
+	started time.Time
 }
 
-func newPlainState() *plainState {
-	return &plainState{pools: map[string]*pick.Pool{}, locals: map[string]*fair.Local{}}
+func newPlainState(now time.Time) *plainState {
+	return &plainState{started: now, pools: map[string]*pick.Pool{}, locals: map[string]*fair.Local{}}
 }
 
 // withPool calls fun with a service's pool, under the lock.
@@ -56,6 +58,7 @@
 	if pln.budget == nil || pln.limits != viw.Retries {
 		pln.limits = viw.Retries
 		pln.budget = sched.NewRetryBudget(viw.Retries.Ratio, viw.Retries.Slack, viw.Retries.Window)
+		pln.budget.SetKnownSince(pln.started)
 	}
 	pln.budget.DivideByAccount(!viw.UndividedAccounts)
 	pln.budget.SetShare(1 / float64(max(1, viw.Known)))
