--- a/io/edge/retries.go
+++ b/io/edge/retries.go
@@ -23,15 +23,17 @@
 	known      time.Duration
 	receivedAt time.Time
 	sentAt     time.Time
+	checkedAt  time.Time
 	// sentTotal is the number of retries when they were last sent.
 	sentTotal int
 }
 
 // shareRetries sends the counts of the retry budget to the possible successors.
 func (ctl *Control) shareRetries(now time.Time) {
-	if ctl.coordinator != ctl.set.AdvertisedAddr || now.Sub(ctl.retries.sentAt) < retriesPeriod {
+	if ctl.coordinator != ctl.set.AdvertisedAddr || now.Sub(ctl.retries.checkedAt) < retriesPeriod {
 		return
 	}
+	ctl.retries.checkedAt = now
 	total := 0
 	for _, usg := range ctl.retryBudget.Usage(now) {
 		total += usg.Retries
