An answer that names no request comes over a connection of its own

Cause: a stage server's late second answer was read as the answer to the next call on the connection, which names no request; after it the connection stayed one answer behind. Class: an answer was tied to its call by its place in the connection alone. The same cause elsewhere: a response without an ID was believed by whichever request came next, refusals as well; relays made calls of others on used connections.

Change: calls to stage servers, relayed ones too, take a new connection that is closed after the answer; the field for it stood unused. A response without an ID is believed on a connection's first request only.

Messages that free results keep their connections: their answers say nothing.

--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -201,7 +201,7 @@
 // and no path to the server, or if no server can be reached at all.
 func (poo *Pool) get(ctx context.Context, req Request) (*conn, error) {
 	way := poo.paths.way(poo.clk.Now(), req.server())
-	if way.Kept {
+	if way.Kept && !req.NewConn {
 		if con := poo.takeIdle(req.Address); con != nil {
 			return con, nil
 		}
--- a/io/conns/exchange.go
+++ b/io/conns/exchange.go
@@ -34,7 +34,8 @@
 	Host    string
 	Fields  []call.Field
 	Body    []byte
-	// NewConn asks for a new connection instead of an idle one.
+	// NewConn is set if the response names no request. It comes over a connection of its
+	// own: on a used one, a second response to an earlier request may come first.
 	NewConn bool
 	// MaxConns is how many connections this instance may hold to the server,
 	// including idle ones; 0 means no limit.
@@ -72,11 +73,13 @@
 	Relay string
 
 	// remote has the body of a relayed response, whose other fields are not used.
-	remote         RelayedBody
-	poo            *Pool
-	con            *conn
-	res            *http.Response
-	req            *http.Request
+	remote RelayedBody
+	poo    *Pool
+	con    *conn
+	res    *http.Response
+	req    *http.Request
+	// single is set if the connection is not used again.
+	single         bool
 	stopCloser     func() bool
 	wrote          chan struct{}
 	requestWritten bool
@@ -116,7 +119,7 @@
 			return nil, &SendError{Address: req.Address, Cause: err}
 		}
 	}
-	rep := &Reply{poo: poo, con: con, server: req.server(), req: &http.Request{Method: req.Method}, wrote: make(chan struct{})}
+	rep := &Reply{poo: poo, con: con, single: req.NewConn, server: req.server(), req: &http.Request{Method: req.Method}, wrote: make(chan struct{})}
 	rep.stopCloser = context.AfterFunc(ctx, func() { _ = con.Close() })
 	poo.grp.Go(func(context.Context) error {
 		defer close(rep.wrote)
@@ -170,7 +173,18 @@
 		rep.res, rep.Header, rep.Length, rep.Framing = res, res.Header, res.ContentLength, framing(res)
 		rep.ResponseHead = head(res.StatusCode, res.Header)
 		rep.ResponseHead.Closing = rep.ResponseHead.Closing || res.Close
-		if id == "" || rep.ResponseHead.RequestID == "" || rep.ResponseHead.RequestID == id {
+		switch rep.ResponseHead.RequestID {
+		case id:
+			rep.scanEvents()
+			return nil
+		case "":
+			if rep.con.used {
+				return errors.New("response without a request ID on a connection that was used before")
+			}
+			rep.scanEvents()
+			return nil
+		}
+		if id == "" {
 			rep.scanEvents()
 			return nil
 		}
@@ -259,7 +273,7 @@
 // can't if the server responded before it had the complete request: the server
 // would take the next request for the rest of this one.
 func (rep *Reply) reusable() bool {
-	if !rep.bodyRead || rep.ResponseHead.Closing || rep.res == nil {
+	if rep.single || !rep.bodyRead || rep.ResponseHead.Closing || rep.res == nil {
 		return false
 	}
 	select {
--- a/io/edge/calls.go
+++ b/io/edge/calls.go
@@ -123,7 +123,7 @@
 		return nil, sched.NoReply, err
 	}
 	snd := cal.request(ask.Server, method, target, fields, body)
-	snd.Abort = true
+	snd.Abort, snd.NewConn = true, true
 	snd.MaxConns = cal.ctl.View().Connections(ask.Server.Service)
 	rep, err := cal.poo.Do(ctx, snd, "", cal.cdc.DecodeResponse)
 	var tak *conns.ConnLimitError
--- a/io/edge/relay.go
+++ b/io/edge/relay.go
@@ -173,7 +173,7 @@
 	}
 	req := conns.Request{
 		Server: ent.ID, Service: cal.Service, Zone: ent.Zone, Address: ent.Address, Method: cal.Method, Target: cal.Target, Host: cal.Host, Fields: cal.Fields, Body: cal.Body,
-		MaxConns: viw.Connections(cal.Service), Release: cal.Release, Relayed: true, Check: func() error { return rly.ctl.MaySend(ent.ID) },
+		MaxConns: viw.Connections(cal.Service), Release: cal.Release, NewConn: cal.ID == "" && !cal.Release, Relayed: true, Check: func() error { return rly.ctl.MaySend(ent.ID) },
 	}
 	rep, err := rly.poo.Do(ctx, req, cal.ID, rly.cdc.DecodeResponse)
 	if err != nil {
