Until a byte has gone to the caller, every outcome of a stream has an answer

Cause: the head counted as sent once it was written, while net/http holds it back until the first flush. The request was then aborted in place of 504, or of a second engine where it may run again. Class: a state was set by the call and not by its effect.

Change: the head goes with the first bytes of the body. Plain responses are sent whole and had no such moment.

--- a/io/entry/generate.go
+++ b/io/entry/generate.go
@@ -221,7 +221,10 @@
 // succession.
 type stream struct {
 	arq *activeRequest
-	// headSent is set once the head was sent to the caller.
+	// rep is the response of the last engine. headSent is set once the head of one was sent
+	// to the caller, with the first bytes of its body: until then the request can be answered
+	// otherwise.
+	rep      *conns.Reply
 	headSent bool
 	complete bool
 	status   int
@@ -241,14 +244,9 @@
 // relay forwards an engine's response to the caller.
 func (stm *stream) relay(ctx context.Context, ent stock.Entry, rep *conns.Reply) (outcome, place.Outcome) {
 	arq := stm.arq
+	stm.rep = rep
 	if !stm.headSent {
-		arq.copyHead(rep)
-		if rep.Length >= 0 {
-			arq.wri.Header().Set("Content-Length", strconv.FormatInt(rep.Length, 10))
-		}
 		stm.status = rep.ResponseHead.Status
-		arq.wri.WriteHeader(rep.ResponseHead.Status)
-		stm.headSent = true
 	}
 	// If the stream can be resumed on another engine, only complete events are
 	// forwarded, so that the resumed stream continues right after them.
@@ -274,7 +272,9 @@
 			if perr := stm.forward(ent, buf[:num], resumable); perr != nil {
 				return outcome{mayHaveRun: true, reason: "caller-left", err: perr}, place.Done
 			}
-			_ = flush.Flush()
+			if stm.headSent {
+				_ = flush.Flush()
+			}
 		}
 		if errors.Is(err, io.EOF) && first && stm.needsEvent(rep) {
 			err = io.ErrUnexpectedEOF
@@ -294,6 +294,19 @@
 	}
 }
 
+// sendHead sends the head of the response, unless one was sent.
+func (stm *stream) sendHead() {
+	if stm.headSent {
+		return
+	}
+	stm.headSent = true
+	stm.arq.copyHead(stm.rep)
+	if stm.rep.Length >= 0 {
+		stm.arq.wri.Header().Set("Content-Length", strconv.FormatInt(stm.rep.Length, 10))
+	}
+	stm.arq.wri.WriteHeader(stm.rep.ResponseHead.Status)
+}
+
 // needsEvent reports whether a response without any byte in its body is incomplete: a
 // stream that begins, of which only the end of the connection says that it is over.
 func (stm *stream) needsEvent(rep *conns.Reply) bool {
@@ -309,6 +322,7 @@
 // endOfStream forwards the remaining bytes and marks the stream as complete:
 // the engine ended it normally.
 func (stm *stream) endOfStream() (outcome, place.Outcome) {
+	stm.sendHead()
 	if len(stm.partial) > 0 {
 		if _, err := stm.arq.wri.Write(stm.partial); err != nil {
 			return outcome{mayHaveRun: true, reason: "caller-left", err: err}, place.Done
@@ -322,6 +336,7 @@
 // writes complete events only.
 func (stm *stream) forward(ent stock.Entry, got []byte, resumable bool) error {
 	if !resumable {
+		stm.sendHead()
 		_, err := stm.arq.wri.Write(got)
 		return err
 	}
@@ -337,6 +352,7 @@
 		stm.arq.beginStream(ent)
 	}
 	stm.partial = append(stm.partial, got[:end]...)
+	stm.sendHead()
 	if _, err := stm.arq.wri.Write(stm.partial); err != nil {
 		return err
 	}
