--- a/io/edge/crashes.go
+++ b/io/edge/crashes.go
@@ -33,9 +33,6 @@
 func (ctl *Control) addCrashes(now time.Time, list ...mesh.Crash) {
 	var reports []marks.Report
 	for _, msg := range list {
-		if msg.Ended && ctl.streams.ends.Add(now, msg.Server) {
-			ctl.viewStale = true
-		}
 		crs := marks.NewCrash(msg.Server, msg.At)
 		if msg.Ended {
 			crs = crs.WithEnd()
--- a/io/edge/streams.go
+++ b/io/edge/streams.go
@@ -24,9 +24,7 @@
 type streams struct {
 	records  *resume.Registry
 	versions *resume.Versions
-	// ends are the starts of servers at which no stream goes on.
-	ends    resume.Ends
-	lookups map[string]*lookup
+	lookups  map[string]*lookup
 	// fresh is set while the view of the servers is up to date.
 	fresh bool
 	// spans are the time spans of services by the configuration.
@@ -58,9 +56,6 @@
 	if now.Sub(stm.sweptAt) >= sweepPeriod {
 		stm.sweptAt = now
 		stm.records.Sweep(now)
-		if stm.ends.Sweep(now) {
-			ctl.viewStale = true
-		}
 	}
 }
 
--- a/io/entry/takeup.go
+++ b/io/entry/takeup.go
@@ -70,8 +70,7 @@
 	if arq.stream.Known() && !arq.stream.Inferred || arq.uncertain {
 		return
 	}
-	cur, have := arq.currentEntry(ent.ID)
-	if have && cur.Start() != ent.Start() || arq.srv.ctl.View().EndedStarts[ent.Start()] {
+	if cur, have := arq.currentEntry(ent.ID); have && cur.Start() != ent.Start() {
 		arq.uncertain = true
 		return
 	}
@@ -100,9 +99,6 @@
 	if !arq.stream.Known() {
 		return true
 	}
-	if arq.srv.ctl.View().EndedStarts[ent.Start()] {
-		return false
-	}
 	cur, have := arq.currentEntry(ent.ID)
 	return ent.Version == arq.stream.Version && (!have || cur.Version == arq.stream.Version)
 }
