Each instance keeps to its own part of the retry budget

Cause: the budget was kept by whoever coordinates. Its heirs began with the counts of the whole fleet, and while all instances stop, each coordinates for itself: seven copies of one budget. Class: a limit over time kept by whoever has a duty, while the duty moves or multiplies.

Change: each instance limits what it sends itself, by a ratio of the requests that it got and its even part of the fixed number. The limits add up whoever coordinates; the handover of counts, the coordinator's budget and two fields between instances that served it alone are gone. A retry is reserved before another server is looked for and counts from when it is sent. After a start a quarter of the limit is used until a window has passed.

TestNextCoordinator- InheritsTheRetryBudget and the round trip of its message went with the handover; TestUnsentRunsSpendNoRetries and the case "no budget" of TestRequestStays tested the scheduler, which no longer counts, and are held by TestUnsentRequestsSpendNoRetries, TestNothingIsSentAgainBeyondTheLimit and the case "no retry left" of TestSlowToBegin at the instance that sends. Retries that were denied no longer count as made; nothing asked for that but a word in a comment, and an instance that had once been refused got none for 10 s. TestRefusedRequestFreesTransferredResults is refused for want of an engine, as no budget refuses there.

Ruled out: arrivals that nobody charges; counts that are early.

--- a/core/member/member.go
+++ b/core/member/member.go
@@ -313,6 +313,23 @@
 	return live, known
 }
 
+// Part returns this instance's part, in (0,1], of what is divided evenly between zones
+// and then between the known members of each. zones is the number of zones that the
+// settings name: an instance that is cut off since its start knows no other zone.
+func (set *Set) Part(zones int) float64 {
+	own, seen := 1, map[string]bool{set.self.Zone: true}
+	for _, inf := range set.others {
+		if inf.StartedAt == 0 {
+			continue
+		}
+		seen[inf.Zone] = true
+		if inf.Zone == set.self.Zone {
+			own++
+		}
+	}
+	return 1 / float64(own*max(zones, len(seen)))
+}
+
 // List returns the members that are announced to others.
 func (set *Set) List() []Member {
 	out := []Member{set.self}
--- a/core/sched/held_test.go
+++ b/core/sched/held_test.go
@@ -190,10 +190,10 @@
 // servers.
 func TestRefusedRequestFreesTransferredResults(t *testing.T) {
 	out := &effects{freed: map[string][]string{}, decisions: map[string]Decision{}}
-	sch := New(out, NewRetryBudget(0, 0, 10*time.Second), rates.NewLimiter())
+	sch := New(out, rates.NewLimiter())
 	sch.Configure(start, services(), testServers)
 	spc := spec("r1", 1, 1)
-	spc.Retry = true
+	spc.Retry, spc.Avoid = true, []string{"m1", "m2"}
 	spc.HeldResults = []HeldResults{{Stage: 0, Server: "f1", Pieces: []int{0}, Handles: []string{"h0"}, Expires: start.Add(4 * time.Second)}}
 	sch.Submit(start, spc)
 	require.Equal(t, Refused, out.decisions["r1"].Outcome)
--- a/core/sched/limit_test.go
+++ b/core/sched/limit_test.go
@@ -24,7 +24,7 @@
 	)
 	out := &effects{freed: map[string][]string{}, decisions: map[string]Decision{}}
 	lim := rates.NewLimiter()
-	sch := New(out, NewRetryBudget(0.2, 10, 10*time.Second), lim)
+	sch := New(out, lim)
 	sch.Configure(start, table.New(1, nil, []*table.Service{{Name: "plain"}}, nil, table.Limits{}), []stock.Entry{{ID: "p1", Address: "p1", Service: "plain", Zone: "z", Slots: 8}})
 	lim.Observe(start, rates.Report{Server: "p1", Rate: rate})
 	arrived := map[string]time.Time{}
--- a/core/sched/move.go
+++ b/core/sched/move.go
@@ -24,7 +24,7 @@
 // moveJob moves a job if it is sooner served elsewhere. It reports whether it
 // did.
 func (sch *Scheduler) moveJob(now time.Time, job *job) bool {
-	if job.run == nil || job.run.Begun() || !job.holdsInputs() || !sch.retryBudget.Allow(now, job.spec.Service, job.spec.Account) {
+	if job.run == nil || job.run.Begun() || !job.holdsInputs() {
 		return false
 	}
 	eng := sch.engines[job.spec.Service]
@@ -42,7 +42,6 @@
 		return false
 	}
 	eng.Ended(now, old, place.Done)
-	sch.retryBudget.Count(now, job.spec.Service, job.spec.Account, true)
 	return true
 }
 
--- a/core/sched/move_test.go
+++ b/core/sched/move_test.go
@@ -45,10 +45,6 @@
 	key := Key{"me", "r1"}
 	for name, prepare := range map[string]func(*Scheduler){
 		"begun": func(sch *Scheduler) { sch.Began(start, key) },
-		"no budget": func(sch *Scheduler) {
-			sch.retryBudget = NewRetryBudget(0, 0, time.Second)
-			sch.retryBudget.Count(start, "model", "", true)
-		},
 		"no other engine": func(sch *Scheduler) {
 			sch.Configure(start, services(), testServers[:3])
 			sch.jobs[key].spec.Avoid = []string{"m1"}
--- a/core/sched/paused_test.go
+++ b/core/sched/paused_test.go
@@ -82,7 +82,7 @@
 	delete(out.decisions, "r1")
 	wait := 20 * time.Second
 	sch.Pause(start, "me", []pause.Server{{ID: "m1", Until: start.Add(wait)}, {ID: "m2", Until: start.Add(wait)}})
-	sch.Retry(start, Spec{Key: spc.Key, Unsent: true}, place.Full, false)
+	sch.Retry(start, Spec{Key: spc.Key}, place.Full, false)
 	require.Equal(t, reasonPaused, out.decisions["r1"].Reason)
 	require.Equal(t, wait, out.decisions["r1"].RetryAfter)
 }
--- a/core/sched/pool_test.go
+++ b/core/sched/pool_test.go
@@ -83,7 +83,7 @@
 // until that is old news, and a report of an earlier start counts for nothing.
 func TestReportedLoadSlowsServer(t *testing.T) {
 	svc := &table.Service{Name: "s", Batch: &table.Batch{ConcurrentCalls: 1, MaxPieces: 8, CallTime: 150 * time.Millisecond}}
-	sch := New(nil, nil, rates.NewLimiter())
+	sch := New(nil, rates.NewLimiter())
 	pol := newPool(svc, sch.rates, sch.pauses)
 	sch.pools["s"] = pol
 	list := []stock.Entry{{ID: "a", Service: "s", StartedAt: 2}, {ID: "b", Service: "s", StartedAt: 2}}
--- a/core/sched/rank.go
+++ b/core/sched/rank.go
@@ -289,10 +289,6 @@
 		return false, minRetryAfter, reasonNoOther
 	}
 	if job.spec.Retry {
-		if !job.spec.Unsent && !sch.retryBudget.Allow(now, job.spec.Service, job.spec.Account) {
-			sch.retryBudget.Deny(now, job.spec.Service, job.spec.Account)
-			return false, minRetryAfter, "no-repeats-left"
-		}
 		job.started = true
 		return true, 0, ""
 	}
--- a/core/sched/reserve_test.go
+++ b/core/sched/reserve_test.go
@@ -32,7 +32,7 @@
 func newMemoryWorld(t *testing.T, seed uint64, ply Policy, faulty bool) *memoryWorld {
 	out := &effects{freed: map[string][]string{}, decisions: map[string]Decision{}}
 	wld := &memoryWorld{t: t, rnd: rand.New(rand.NewPCG(seed, 3)), out: out, now: start, faulty: faulty}
-	wld.sch = New(out, NewRetryBudget(0.2, 10, 10*time.Second), rates.NewLimiter()).WithPolicy(ply)
+	wld.sch = New(out, rates.NewLimiter()).WithPolicy(ply)
 	for num := range 3 {
 		wld.servers = append(wld.servers, entry("first", fmt.Sprintf("f%d", num), "z"), entry("second", fmt.Sprintf("s%d", num), "z"))
 	}
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -84,8 +84,6 @@
 	inFlight map[uint64]*activeCall
 	// ready are jobs with complete stages that have no engine yet.
 	ready map[Key]*job
-	// retryBudget limits the requests that are sent again.
-	retryBudget *RetryBudget
 	// rates are the rate limits that servers set. If there are any, queued
 	// counts the jobs ahead of the one being estimated, by service.
 	rates  *rates.Limiter
@@ -117,11 +115,11 @@
 }
 
 // New returns an empty scheduler that observes the rate limits in lim.
-func New(out Effects, budget *RetryBudget, lim *rates.Limiter) *Scheduler {
+func New(out Effects, lim *rates.Limiter) *Scheduler {
 	return &Scheduler{
 		divide: true, accounts: map[string]int{}, divisions: map[string]*division{}, rates: lim, queued: map[string]int{}, pauses: pause.NewSet[pauseKey](),
 		out: out, jobs: map[Key]*job{}, pools: map[string]*pool{}, engines: map[string]*place.Pool{},
-		inFlight: map[uint64]*activeCall{}, ready: map[Key]*job{}, retryBudget: budget, meanSizes: map[sizeKey]float64{}, refused: map[uint64]refusal{}, suspectedZones: map[string]*suspicion{},
+		inFlight: map[uint64]*activeCall{}, ready: map[Key]*job{}, meanSizes: map[sizeKey]float64{}, refused: map[uint64]refusal{}, suspectedZones: map[string]*suspicion{},
 	}
 }
 
@@ -192,9 +190,6 @@
 		}
 		sch.endJob(now, old)
 	}
-	if spc.Retry && !spc.Unsent || !spc.Retry && !spc.Resubmitted {
-		sch.retryBudget.Count(now, spc.Service, spc.Account, spc.Retry)
-	}
 	job, reason := sch.build(now, spc)
 	if job == nil {
 		sch.out.Notify(Decision{Key: spc.Key, Outcome: Refused, Reason: reason, RetryAfter: unknownServiceWait})
@@ -333,8 +328,7 @@
 // unless its job moves; see move.
 //
 // Of the request as its entry instance knows it now, it uses the software version that
-// the stream has since its first event, and whether the run reached its engine: one that
-// didn't spends nothing of the retry budget.
+// the stream has since its first event.
 func (sch *Scheduler) Retry(now time.Time, spc Spec, out place.Outcome, inputsGone bool) bool {
 	key := spc.Key
 	if out == place.Slow {
@@ -358,11 +352,6 @@
 		sch.out.Notify(Decision{Key: key, Outcome: Refused, Reason: reasonPaused, RetryAfter: max(minRetryAfter, wait)})
 		return true
 	}
-	if !spc.Unsent && !sch.spendRetry(now, &job.spec) {
-		sch.endJob(now, job)
-		sch.out.Notify(Decision{Key: key, Outcome: Refused, Reason: "no-repeats-left", RetryAfter: minRetryAfter})
-		return true
-	}
 	for _, stg := range job.stages {
 		for _, pie := range stg.pieces {
 			if stg.final && pie.state == stateDone && (pie.server == nil || inputsGone) {
@@ -376,16 +365,6 @@
 	return true
 }
 
-// spendRetry spends a retry of a request, and reports whether the budget allows it.
-func (sch *Scheduler) spendRetry(now time.Time, spc *Spec) bool {
-	sch.retryBudget.Count(now, spc.Service, spc.Account, true)
-	if sch.retryBudget.Allow(now, spc.Service, spc.Account) {
-		return true
-	}
-	sch.retryBudget.Deny(now, spc.Service, spc.Account)
-	return false
-}
-
 // Adopt adds a job that another instance placed at an engine before this one
 // took over.
 func (sch *Scheduler) Adopt(now time.Time, spc Spec, engine string) {
--- a/core/sched/scheduler_test.go
+++ b/core/sched/scheduler_test.go
@@ -43,7 +43,7 @@
 
 func newScheduler(servers ...stock.Entry) (*Scheduler, *effects) {
 	out := &effects{freed: map[string][]string{}, decisions: map[string]Decision{}}
-	sch := New(out, NewRetryBudget(0.2, 10, 10*time.Second), rates.NewLimiter())
+	sch := New(out, rates.NewLimiter())
 	sch.Configure(start, services(), servers)
 	return sch, out
 }
@@ -119,27 +119,6 @@
 	require.False(t, sch.Retry(start, Spec{Key: Key{"me", "other"}}, place.Full, false))
 }
 
-// Runs that reach no engine must leave the retry budget to those that do.
-func TestUnsentRunsSpendNoRetries(t *testing.T) {
-	sch, out := newScheduler(testServers...)
-	sch.retryBudget = NewRetryBudget(0, 0, 10*time.Second)
-	sch.Submit(start, spec("r1", 1, 1))
-	answer(sch, start, out.takeCalls()[0])
-	answer(sch, start, out.takeCalls()[0])
-	first := out.decisions["r1"].Server.ID
-	require.True(t, sch.Retry(start, Spec{Key: Key{"me", "r1"}, Unsent: true}, place.Failed, false))
-	require.Equal(t, Placed, out.decisions["r1"].Outcome)
-	require.NotEqual(t, first, out.decisions["r1"].Server.ID)
-	unsent := spec("r2", 0, 0)
-	unsent.Retry, unsent.Unsent = true, true
-	sch.Submit(start, unsent)
-	require.Equal(t, Placed, out.decisions["r2"].Outcome)
-	sent := spec("r3", 0, 0)
-	sent.Retry = true
-	sch.Submit(start, sent)
-	require.Equal(t, Refused, out.decisions["r3"].Outcome)
-}
-
 // While the coordinator has no path to a stage server, its calls must neither eject the
 // server nor use up the tries of their pieces.
 func TestLostPathIsNoFailureOfStageServers(t *testing.T) {
@@ -291,7 +270,7 @@
 // first.
 func TestFreeSlotsGoInRankOrder(t *testing.T) {
 	out := &effects{freed: map[string][]string{}, decisions: map[string]Decision{}}
-	sch := New(out, NewRetryBudget(0.2, 10, 10*time.Second), rates.NewLimiter())
+	sch := New(out, rates.NewLimiter())
 	tab := table.New(1, nil, []*table.Service{{Name: "model", Model: &table.Model{Slots: 1, CacheTokens: 600_000}}}, nil, table.Limits{})
 	sch.Configure(start, tab, []stock.Entry{entry("model", "m1", "z")})
 	for num := range 12 {
@@ -309,26 +288,6 @@
 	}
 }
 
-// The retries of all instances together must stay within a ratio and a fixed
-// number.
-func TestRetryBudget(t *testing.T) {
-	rep := NewRetryBudget(0.2, 10, 10*time.Second)
-	for range 50 {
-		rep.Count(start, "s", "", false)
-	}
-	sent := 0
-	for range 100 {
-		if rep.Allow(start, "s", "") {
-			rep.Count(start, "s", "", true)
-			sent++
-		}
-	}
-	require.LessOrEqual(t, sent, 20)
-	require.Positive(t, sent)
-	require.False(t, rep.Allow(start.Add(time.Second), "s", ""))
-	require.True(t, rep.Allow(start.Add(15*time.Second), "s", ""))
-}
-
 // BenchmarkSubmit measures one admission while a thousand pieces wait for fifty
 // servers.
 func BenchmarkSubmit(b *testing.B) {
--- a/core/sched/types.go
+++ b/core/sched/types.go
@@ -53,14 +53,9 @@
 	// another instance had it before.
 	HeldResults []HeldResults
 	// Avoid are the engines that tried this request before. Retry marks a
-	// retry, which counts against the retry budget and was admitted before.
+	// retry, which was admitted before.
 	Avoid []string
 	Retry bool
-	// Unsent marks a retry of which no send has reached a server since it was placed.
-	// It doesn't count against the retry budget.
-	Unsent bool
-	// Resubmitted is set if another coordinator had the request before.
-	Resubmitted bool
 	// Version is the version of the software that the engine must have; empty for any.
 	Version string
 	// GoesOn is set if the request takes up a stream that is known to have begun. It
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -101,19 +101,17 @@
 	// rereadStore makes the store reader read everything again.
 	rereadStore func()
 
-	mem         *member.Set
-	registry    *stock.Registry
-	tab         *table.Table
-	doc         []byte
-	sched       *sched.Scheduler
-	retryBudget *sched.RetryBudget
-	limits      *limits
-	pauses      *pauses
-	accounts    *accounts
-	streams     *streams
-	speeds      speeds
-	retries     retryCounts
-	marks       *marks.Table
+	mem      *member.Set
+	registry *stock.Registry
+	tab      *table.Table
+	doc      []byte
+	sched    *sched.Scheduler
+	limits   *limits
+	pauses   *pauses
+	accounts *accounts
+	streams  *streams
+	speeds   speeds
+	marks    *marks.Table
 	// crashed are the entries of the servers that crashed, by their start.
 	crashed map[string]stock.Entry
 	// causesFound is called with the evidence if it implicates any requests.
@@ -218,14 +216,12 @@
 	ctl := &Control{
 		set: set, clk: clk, dec: dec, log: log, events: make(chan event, queueLength),
 		mem:      member.NewSet(member.Member{Address: set.AdvertisedAddr, Zone: set.Zone, StartedAt: born, MilliCPU: set.MilliCPU}),
-		registry: stock.NewRegistry(), retryBudget: sched.NewRetryBudget(set.RetryRatio, set.RetrySlack, set.RetryWindow), limits: newLimits(), pauses: newPauses(), accounts: newAccounts(), streams: newStreams(),
+		registry: stock.NewRegistry(), limits: newLimits(), pauses: newPauses(), accounts: newAccounts(), streams: newStreams(),
 		wrongServers: map[string]stock.Revision{}, pending: map[string]*pendingRequest{}, sync: newSyncState(), sent: sentHeartbeat{missed: map[string]bool{}}, large: make(chan struct{}, largeMessages), ended: make(chan struct{}), relinked: map[string]bool{}, frees: map[string][]string{}, losses: reach.NewLosses(), coldUntil: map[string]time.Time{}, crashed: map[string]stock.Entry{}, sounds: map[uint64]time.Time{}, partNames: map[marks.Fingerprint]string{}, causesFound: func(*marks.Table) {}, unreadable: newUnreadable(), badEntries: newUnreadable(), piecesRequested: map[string]int{},
 		verified: true, startedAt: now, ticked: now, due: evTick{due: now, boot: bootTime()}, coordinator: set.AdvertisedAddr, rereadStore: func() {}, throttle: accept.NewThrottle(clk),
 	}
-	ctl.retryBudget.SetKnownSince(now)
-	ctl.sched = sched.New(ctl, ctl.retryBudget, ctl.limits.limiter)
+	ctl.sched = sched.New(ctl, ctl.limits.limiter)
 	ctl.sched.DivideByAccount(!set.UndividedAccounts)
-	ctl.retryBudget.DivideByAccount(!set.UndividedAccounts)
 	ctl.sched.ColdStart(now)
 	ctl.limits.limiter.SetMembersUnknown(now, true)
 	ctl.mem.SetSeeds(now, set.Seeds)
@@ -293,7 +289,7 @@
 		Table: ctl.tab, Servers: ctl.servers, Unusable: ctl.unusable, Verified: ctl.verified, Stopping: ctl.stopping,
 		ClosingAt: ctl.closingAt, Marks: ctl.marks, Live: live, Known: known, SilentZones: ctl.unreachable,
 		LimitedServers: ctl.limits.servers(), BrittleServers: ctl.limits.limiter.BrittleServers(), LimitedServices: ctl.limits.services(now, ctl.servers),
-		Retries:           entry.RetryLimits{Ratio: ctl.set.RetryRatio, Slack: ctl.set.RetrySlack, Window: ctl.set.RetryWindow},
+		Retries:           entry.RetryLimits{Ratio: ctl.set.RetryRatio, Slack: ctl.set.RetrySlack, Window: ctl.set.RetryWindow, Part: ctl.mem.Part(ctl.set.Zones)},
 		CloseConnections:  ctl.throttle.Limited(),
 		UndividedAccounts: ctl.set.UndividedAccounts, Notices: ctl.accounts.byResource(now),
 	}
--- a/io/edge/duties.go
+++ b/io/edge/duties.go
@@ -39,7 +39,6 @@
 	ctl.shareStreams(now)
 	ctl.endLookups(now)
 	ctl.sendSounds(now)
-	ctl.shareRetries(now)
 	if now.Sub(ctl.heartbeatAt) >= ctl.mem.HeartbeatInterval() {
 		ctl.heartbeatAt = now
 		ctl.runPeriodic(now)
@@ -227,13 +226,11 @@
 	}
 	ctl.limits.limiter.SetMembers(now, live, known)
 	ctl.limits.limiter.SetMembersUnknown(now, now.Sub(ctl.startedAt) < seekPeriod)
-	ctl.retryBudget.SetShare(float64(live) / float64(max(1, known)) * retryPart)
 }
 
 // startCoordinating makes this instance the coordinator in place of another one.
 func (ctl *Control) startCoordinating(now time.Time, previous string) {
 	ctl.adoptSpeeds(now)
-	ctl.adoptRetries(now)
 	if ctl.mem.Live(now, previous) {
 		// The previous coordinator is live: it transfers its jobs and frees the
 		// results that it knows of.
@@ -260,10 +257,6 @@
 	ctl.sched.SuspectZones(now, unreachable)
 }
 
-// retryPart is the coordinator's part of the fixed number of retries. The rest
-// covers a second coordinator that takes over within the budget's window.
-const retryPart = 0.7
-
 type evStop struct {
 	closing bool
 	// closingAt is when the process will have ended.
--- a/io/edge/events.go
+++ b/io/edge/events.go
@@ -331,8 +331,6 @@
 		ctl.handleStreams(now, evt.from, msg)
 	case mesh.AskStream:
 		ctl.answerAskStream(now, evt.from, msg)
-	case mesh.Retries:
-		ctl.handleRetries(now, msg)
 	case mesh.Speeds:
 		ctl.handleSpeeds(now, msg)
 	case mesh.Crash:
--- a/io/edge/gauges.go
+++ b/io/edge/gauges.go
@@ -6,7 +6,7 @@
 
 	"lovagestream/core/fair"
 	"lovagestream/core/rates"
-	"lovagestream/core/sched"
+	"lovagestream/core/retry"
 	"lovagestream/core/speed"
 )
 
@@ -44,15 +44,13 @@
 	// causes are those of crashes of servers, suspects counts the fingerprints with evidence.
 	causes   []CrashCause
 	suspects int
-	// retries is the usage of the retry budget by service, at the coordinator.
-	retries map[string]sched.Usage
 	// waiting counts the requests without a decision by client account.
 	waiting map[string]int64
 }
 
 // snapshot returns the current stats.
 func (ctl *Control) snapshot(now time.Time) *stats {
-	sta := &stats{servers: len(ctl.live), pending: len(ctl.pending), jobs: ctl.sched.Jobs(), coordinator: ctl.coordinator, readsStore: ctl.Duty().Reads, storeAge: -1, verified: ctl.verified, limits: ctl.limits.limiter.All(), unplaced: ctl.sched.Unplaced(), cold: ctl.limits.limiter.ColdServers(), evacuated: len(ctl.evacuated), paused: len(ctl.pauses.list(now)), speeds: ctl.sched.Speeds(now), over: ctl.accounts.over, waiting: ctl.waitingByAccount(), streams: ctl.streams.records.Len(), unrecorded: ctl.streams.records.Dropped(), causes: ctl.crashCauses(now), suspects: ctl.marks.Len(), retries: ctl.retryBudget.Usage(now)}
+	sta := &stats{servers: len(ctl.live), pending: len(ctl.pending), jobs: ctl.sched.Jobs(), coordinator: ctl.coordinator, readsStore: ctl.Duty().Reads, storeAge: -1, verified: ctl.verified, limits: ctl.limits.limiter.All(), unplaced: ctl.sched.Unplaced(), cold: ctl.limits.limiter.ColdServers(), evacuated: len(ctl.evacuated), paused: len(ctl.pauses.list(now)), speeds: ctl.sched.Speeds(now), over: ctl.accounts.over, waiting: ctl.waitingByAccount(), streams: ctl.streams.records.Len(), unrecorded: ctl.streams.records.Dropped(), causes: ctl.crashCauses(now), suspects: ctl.marks.Len()}
 	sta.live, sta.known = ctl.mem.Count(now)
 	if ctl.tab != nil {
 		sta.configVersion = ctl.tab.Version()
@@ -71,7 +69,6 @@
 	read("streams-recorded", func(sta *stats) any { return sta.streams })
 	read("streams-unrecorded", func(sta *stats) any { return sta.unrecorded })
 	read("crash-causes", func(sta *stats) any { return len(sta.causes) })
-	read("retry-budget", func(sta *stats) any { return retryMetrics(sta) })
 	read("crash-suspects", func(sta *stats) any { return sta.suspects })
 	read("config-version", func(sta *stats) any { return sta.configVersion })
 	read("servers", func(sta *stats) any { return sta.servers })
@@ -93,6 +90,7 @@
 		nod.gau.Read("accounts", func() any { return nod.srv.AccountCounts(num, nod.ctl.stats.Load().waiting) })
 		read("accounts-over-share", func(sta *stats) any { return overShareMetrics(sta.over, num) })
 	}
+	nod.gau.Read("retry-budget", func() any { return retryMetrics(nod.srv.RetryUsage()) })
 	nod.gau.Read("requests-active", func() any { return nod.srv.Active() })
 	nod.gau.Read("lateness-ms", func() any { late, _ := nod.ctl.throttle.State(); return late.Milliseconds() })
 	nod.gau.Read("connections-per-second-limit", func() any { _, rate := nod.ctl.throttle.State(); return rate })
@@ -128,17 +126,18 @@
 	return out
 }
 
-// retryMetric is the retry budget of a service in the metrics, in requests of a window.
+// retryMetric is this instance's part of the retry budget of a service in the metrics, in
+// requests of a window.
 type retryMetric struct {
 	Requests int     `json:"requests"`
 	Retries  int     `json:"retries"`
 	Limit    float64 `json:"limit"`
 }
 
-func retryMetrics(sta *stats) map[string]retryMetric {
+func retryMetrics(usage map[string]retry.Usage) map[string]retryMetric {
 	out := map[string]retryMetric{}
-	for service, usg := range sta.retries {
-		out[service] = retryMetric{Requests: usg.First, Retries: usg.Retries, Limit: math.Round(usg.Limit)}
+	for service, usg := range usage {
+		out[service] = retryMetric{Requests: usg.Requests, Retries: usg.Retries, Limit: math.Round(usg.Limit)}
 	}
 	return out
 }
--- a/io/edge/handover.go
+++ b/io/edge/handover.go
@@ -243,7 +243,6 @@
 		coordinator = ctl.coordinator
 	}
 	if !req.placed {
-		req.spec.Resubmitted = true
 		ctl.submitTo(now, req, coordinator)
 		return
 	}
@@ -276,7 +275,6 @@
 		}
 		moved++
 		if !req.placed {
-			req.spec.Resubmitted = true
 			ctl.submitTo(now, req, ctl.coordinator)
 			continue
 		}
--- a/io/edge/settings.go
+++ b/io/edge/settings.go
@@ -11,6 +11,8 @@
 	Name string
 	IP   string
 	Zone string
+	// Zones is the number of zones of the deployment; 0 if the settings don't name them.
+	Zones int
 	// CallerAddr, ReadyAddr, PeerAddr and MetricsAddr are listen addresses.
 	// MetricsAddr may be empty, which serves no metrics.
 	CallerAddr  string
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -81,6 +81,7 @@
 	zone string
 	name string
 	pln  *plainState
+	ret  retries
 	trc  *trace.Tracer
 	// active is the number of active requests.
 	active  atomic.Int64
@@ -92,7 +93,7 @@
 
 // New returns the server of the named entry instance in a zone.
 func New(name, zone string, ctl Control, cdc Codec, poo *conns.Pool, clk clock.Service, log *lines.Writer, gau *gauge.Metrics) *Server {
-	return &Server{ctl: ctl, cdc: cdc, poo: poo, clk: clk, log: log, gau: gau, zone: zone, name: name, pln: newPlainState(clk.Now()), waiting: waitingSends{sends: map[*mover]marks.Request{}}, counts: map[string]*AccountCount{}}
+	return &Server{ctl: ctl, cdc: cdc, poo: poo, clk: clk, log: log, gau: gau, zone: zone, name: name, pln: newPlainState(), ret: retries{started: clk.Now()}, waiting: waitingSends{sends: map[*mover]marks.Request{}}, counts: map[string]*AccountCount{}}
 }
 
 // WithTracer sets the tracer that makes spans of requests. It must be called
@@ -136,6 +137,10 @@
 	// lastServer is the server of the last send, empty before the first.
 	attempts   int
 	lastServer string
+	// reached is set once a send has reached a server, which may have rejected it. reserved
+	// is set if a further one is reserved.
+	reached  bool
+	reserved bool
 	// relayedBy is the instance that relayed the last response; empty if none did.
 	relayedBy string
 	// framing is that of the last response.
@@ -185,6 +190,8 @@
 	defer cancel()
 	dog := srv.clk.StartWatchdog(arq.deadline.Sub(arq.arrived), cancel)
 	defer dog.Stop()
+	arq.countRequest()
+	defer arq.releaseRetry()
 	if arq.takesUp() && !arq.findStream(ctx) {
 		return
 	}
@@ -443,14 +450,26 @@
 	_, spn := trace.Start(ctx, "send", attribute.String("server", ent.ID))
 	defer func() { spn.End(err) }()
 	arq.lastServer = ent.ID
+	reached, noted := arq.reached, false
+	check := func() error {
+		if err := arq.maySend(ent); err != nil {
+			return err
+		}
+		noted = true
+		arq.noteSend()
+		return nil
+	}
 	fwd := conns.Request{
 		Server: ent.ID, Service: arq.service, Zone: ent.Zone, Address: ent.Address, Method: arq.req.Method, Target: arq.req.Target, Host: arq.req.Host,
 		Fields: arq.srv.cdc.ForwardFields(arq.req, ext), Body: arq.req.Body,
-		MaxConns: arq.srv.ctl.View().Connections(arq.service), Check: func() error { return arq.maySend(ent) },
+		MaxConns: arq.srv.ctl.View().Connections(arq.service), Check: check,
 		Abort: !arq.rou.AtMostOnce(), Deadline: arq.deadline, RelayIfTaken: true,
 	}
 	sent := arq.srv.clk.Now()
 	rep, err = arq.srv.poo.Do(ctx, fwd, arq.req.ID, arq.srv.cdc.DecodeResponse)
+	if _, unsent := notSent(err); unsent && noted {
+		arq.noteUnsent(reached)
+	}
 	if err == nil {
 		arq.relayedBy, arq.framing = rep.Relay, rep.Framing
 		arq.srv.gau.Count("responses", rep.Framing.String())
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -87,7 +87,6 @@
 	// refusal, if set, is the decision when no engine is left.
 	refusal sched.Decision
 	// unsent is whether the last retry was of a request that reached no server.
-	unsent bool
 	// begun are the records of the streams that began.
 	begun []resume.Record
 }
@@ -131,7 +130,6 @@
 		out <- sched.Decision{Key: spc.Key, Outcome: sched.Refused, Reason: "stays"}
 		return out
 	}
-	ctl.unsent = spc.Unsent
 	ctl.Ended(spc.Key.ID, how)
 	return ctl.Submit(spc)
 }
@@ -188,7 +186,7 @@
 	fix.ctl.viw.Store(&entry.View{
 		Table:   table.New(3, []*table.Route{rou}, []*table.Service{svc}, keys, table.Limits{MaxHeaderBytes: 4096, MaxBodyBytes: 1000}),
 		Servers: map[string][]stock.Entry{"svc": servers}, Verified: true, Live: 1, Known: 1,
-		Retries: entry.RetryLimits{Ratio: 0.2, Slack: 20, Window: 10 * time.Second},
+		Retries: entry.RetryLimits{Ratio: 0.2, Slack: 20, Window: 10 * time.Second, Part: 1},
 	})
 	grp := group.New(context.Background())
 	t.Cleanup(grp.Stop)
@@ -287,13 +285,44 @@
 			fix.updateView(func(viw *entry.View) { viw.Retries = entry.RetryLimits{Window: 10 * time.Second} })
 			require.Equal(t, http.StatusOK, fix.send(t, "/p/x").status)
 			require.EqualValues(t, 1, runs.Load())
-			if svc == modelService {
-				require.True(t, fix.ctl.unsent, "the coordinator must be told")
-			}
 		})
 	}
 }
 
+// All servers fail or reject, and the limit of retries is used up. Each request must reach one
+// server and be answered at once.
+func TestNothingIsSentAgainBeyondTheLimit(t *testing.T) {
+	answers := map[string]http.HandlerFunc{
+		"fail": func(wri http.ResponseWriter, _ *http.Request) {
+			wri.Header().Set("Signed", "s")
+			wri.WriteHeader(http.StatusInternalServerError)
+		},
+		"reject": func(wri http.ResponseWriter, _ *http.Request) {
+			wri.Header().Set("Not-Run", "1")
+			wri.WriteHeader(http.StatusServiceUnavailable)
+		},
+	}
+	for name, han := range answers {
+		for kind, svc := range map[string]*table.Service{"plain": plainService, "model": modelService} {
+			t.Run(name+" "+kind, func(t *testing.T) {
+				var runs atomic.Int64
+				var servers []stock.Entry
+				for range 4 {
+					servers = append(servers, newServer(t, &runs, han))
+				}
+				fix := newFixture(t, &table.Route{Kind: call.Idempotent, MaxAttempts: 4}, svc, servers...)
+				fix.updateView(func(viw *entry.View) { viw.Retries = entry.RetryLimits{Window: 10 * time.Second, Part: 1} })
+				require.GreaterOrEqual(t, fix.send(t, "/p/x").status, http.StatusInternalServerError)
+				require.EqualValues(t, 1, runs.Load())
+				fix.updateView(func(viw *entry.View) { viw.Retries.Slack = 10 })
+				fix.ctl.placed.Store(0)
+				fix.send(t, "/p/x")
+				require.GreaterOrEqual(t, runs.Load(), int64(3))
+			})
+		}
+	}
+}
+
 // An instance that has lost the path to all engines must not report them as failed: the
 // coordinator would eject them for the instances that reach them.
 func TestLostPathIsNoFailureOfEngines(t *testing.T) {
--- a/io/entry/generate.go
+++ b/io/entry/generate.go
@@ -43,7 +43,8 @@
 		mov := arq.watchSend(ctx, stm, spc, dec)
 		last = arq.sendToEngine(mov.ctx, stm, mov, dec)
 		if next := mov.end(); next != nil {
-			spc.Avoid, spc.Retry, spc.Unsent = append(spc.Avoid, dec.Server.ID), true, false
+			arq.adoptRetry()
+			spc.Avoid, spc.Retry = append(spc.Avoid, dec.Server.ID), true
 			decision = next
 			continue
 		}
@@ -62,8 +63,12 @@
 			last.reason = reasonCrashes
 			break
 		}
+		if !arq.reserveRetry() {
+			last.reason += "," + reasonNoRetries
+			break
+		}
 		spc.Avoid = append(spc.Avoid, dec.Server.ID)
-		spc.Retry, spc.Unsent, spc.Version = true, last.unsent, arq.stream.Version
+		spc.Retry, spc.Version = true, arq.stream.Version
 		decision = arq.srv.ctl.Retry(spc, last.engineOutcome, last.reason == reasonInputGone)
 	}
 	if ctx.Err() != nil {
--- a/io/entry/limited.go
+++ b/io/entry/limited.go
@@ -21,14 +21,14 @@
 
 // requestPlacement asks the coordinator for a server. If there is none, the
 // outcome has the reason and the retry delay.
-func (arq *activeRequest) requestPlacement(ctx context.Context, avoid map[string]bool, retry, reached bool) (stock.Entry, outcome, bool) {
+func (arq *activeRequest) requestPlacement(ctx context.Context, avoid map[string]bool, retry bool) (stock.Entry, outcome, bool) {
 	spc := arq.spec()
 	spc.Stages, spc.Pieces, spc.Parts, spc.PromptTokens, spc.MaxOutputTokens = nil, nil, nil, 0, 0
 	// Plain requests of different callers may be identical, so a fingerprint
 	// doesn't identify a caller that returns.
 	spc.Fingerprint = 0
 	spc.Avoid = slices.Sorted(maps.Keys(avoid))
-	spc.Retry, spc.Unsent = retry, retry && !reached
+	spc.Retry = retry
 	dec, ok := arq.awaitDecision(ctx, arq.srv.ctl.Submit(spc))
 	if !ok {
 		return stock.Entry{}, outcome{reason: "no-verdict"}, false
--- a/io/entry/move.go
+++ b/io/entry/move.go
@@ -52,15 +52,21 @@
 	if mov.hasBegun() {
 		return
 	}
-	spc.Avoid = append(spc.Avoid[:len(spc.Avoid):len(spc.Avoid)], engine)
-	spc.Retry = true
-	var dec sched.Decision
-	select {
-	case dec = <-arq.srv.ctl.Retry(spc, place.Slow, false):
-	case <-mov.ctx.Done():
-		return
+	dec := sched.Decision{Reason: reasonNoRetries}
+	moved := false
+	if arq.newRetry() {
+		spc.Avoid = append(spc.Avoid[:len(spc.Avoid):len(spc.Avoid)], engine)
+		spc.Retry = true
+		select {
+		case dec = <-arq.srv.ctl.Retry(spc, place.Slow, false):
+		case <-mov.ctx.Done():
+			arq.dropRetry()
+			return
+		}
+		if moved = dec.Outcome == sched.Placed && mov.moveTo(dec); !moved {
+			arq.dropRetry()
+		}
 	}
-	moved := dec.Outcome == sched.Placed && mov.moveTo(dec)
 	arq.srv.gau.Count("moves", map[bool]string{true: "moved", false: "stayed"}[moved])
 	arq.srv.log.Log("engine-slow", lines.Fields{"id": arq.req.ID, "server": engine, "waited": waited.Milliseconds(), "moved": moved, "to": dec.Server.ID, "reason": dec.Reason})
 }
--- a/io/entry/move_test.go
+++ b/io/entry/move_test.go
@@ -11,6 +11,7 @@
 
 	"lovagestream/core/call"
 	"lovagestream/core/table"
+	"lovagestream/io/entry"
 )
 
 // An engine that is slow to begin must not hold a request which may move, and
@@ -22,10 +23,12 @@
 		resumable bool
 		stays     bool
 		second    int64
+		slack     int
 	}{
-		{"moves", true, false, 1},
-		{"may run once", false, false, 0},
-		{"stays", true, true, 0},
+		{"moves", true, false, 1, 20},
+		{"may run once", false, false, 0, 20},
+		{"stays", true, true, 0, 20},
+		{"no retry left", true, false, 0, 0},
 	}
 	for _, tst := range tests {
 		t.Run(tst.name, func(t *testing.T) {
@@ -49,6 +52,7 @@
 				_, _ = io.WriteString(wri, streamed)
 			})
 			fix := newFixture(t, &table.Route{Kind: call.Stream, Resumable: tst.resumable, MaxAttempts: 2, LatencyTarget: 5 * time.Second, Timeout: 20 * time.Second}, modelService, first, second)
+			fix.updateView(func(viw *entry.View) { viw.Retries.Ratio, viw.Retries.Slack = 0, tst.slack })
 			fix.ctl.estimate, fix.ctl.stays = 10*time.Millisecond, tst.stays
 			if tst.second == 0 {
 				time.AfterFunc(300*time.Millisecond, func() { close(release) })
--- a/io/entry/notsent.go
+++ b/io/entry/notsent.go
@@ -24,6 +24,8 @@
 	// reasonCrashes is the reason of requests that are refused since requests like them
 	// crash servers.
 	reasonCrashes = "crashes-servers"
+	// reasonNoRetries is the reason, after that of a failure, if the limit allows no retry.
+	reasonNoRetries = "no-repeats-left"
 )
 
 // notSent returns the outcome of a request of which no byte was sent, and false
--- a/io/entry/plain.go
+++ b/io/entry/plain.go
@@ -14,27 +14,22 @@
 	"lovagestream/core/call"
 	"lovagestream/core/fair"
 	"lovagestream/core/pick"
-	"lovagestream/core/sched"
 	"lovagestream/core/speed"
 	"lovagestream/core/stock"
 	"lovagestream/io/conns"
 	"lovagestream/io/lines"
 )
 
-// plainState is the state of plain services: the observations of their servers,
-// their division between client accounts and their retry budget.
+// plainState is the state of plain services: the observations of their servers and
+// their division between client accounts.
 type plainState struct {
 	mu     sync.Mutex
 	pools  map[string]*pick.Pool
 	locals map[string]*fair.Local
-	budget *sched.RetryBudget
-	limits RetryLimits
-	// started is when the instance started. It doesn't know what an earlier run sent.
-	started time.Time
 }
 
-func newPlainState(now time.Time) *plainState {
-	return &plainState{started: now, pools: map[string]*pick.Pool{}, locals: map[string]*fair.Local{}}
+func newPlainState() *plainState {
+	return &plainState{pools: map[string]*pick.Pool{}, locals: map[string]*fair.Local{}}
 }
 
 // withPool calls fun with a service's pool, under the lock.
@@ -49,27 +44,6 @@
 	fun(pol)
 }
 
-// allow counts a request against the retry budget and reports whether it may be
-// sent. All entry instances share one budget: each spends the ratio of its own
-// requests and an even share of the fixed number.
-func (pln *plainState) allow(now time.Time, viw *View, service, account string, retry bool) bool {
-	pln.mu.Lock()
-	defer pln.mu.Unlock()
-	if pln.budget == nil || pln.limits != viw.Retries {
-		pln.limits = viw.Retries
-		pln.budget = sched.NewRetryBudget(viw.Retries.Ratio, viw.Retries.Slack, viw.Retries.Window)
-		pln.budget.SetKnownSince(pln.started)
-	}
-	pln.budget.DivideByAccount(!viw.UndividedAccounts)
-	pln.budget.SetShare(1 / float64(max(1, viw.Known)))
-	pln.budget.Count(now, service, account, retry)
-	if !retry || pln.budget.Allow(now, service, account) {
-		return true
-	}
-	pln.budget.Deny(now, service, account)
-	return false
-}
-
 // outcome is how one send to a server ended.
 type outcome struct {
 	// retryable is set if another server may be tried.
@@ -120,30 +94,26 @@
 // sendPlain sends a request to servers until one answers, and returns how the last
 // send ended and what it took.
 func (arq *activeRequest) sendPlain(ctx context.Context) (last outcome, took time.Duration) {
-	pln := arq.srv.pln
 	avoid := map[string]bool{}
-	pln.allow(arq.arrived, arq.viw, arq.service, arq.account(), false)
 	last.reason = "no-server"
-	// reached is set once a server got the request.
-	reached := false
 	for num := range maxSends {
 		now := arq.srv.clk.Now()
 		if arq.deadline.Sub(now) < minRemaining {
 			last.reason = "no-time-left"
 			break
 		}
-		if reached && !pln.allow(now, arq.viw, arq.service, arq.account(), true) {
-			last.reason += ",no-repeats-left"
+		if !arq.reserveRetry() {
+			last.reason += "," + reasonNoRetries
 			break
 		}
-		if num > 0 && !reached && arq.serversUnreachable(now, last) {
+		if num > 0 && !arq.reached && arq.serversUnreachable(now, last) {
 			break
 		}
 		limited := arq.srv.ctl.View().LimitedServices[arq.service]
 		ent, ok := stock.Entry{}, false
 		if limited {
 			var refused outcome
-			ent, refused, ok = arq.requestPlacement(ctx, avoid, num > 0, reached)
+			ent, refused, ok = arq.requestPlacement(ctx, avoid, num > 0)
 			if !ok && num == 0 {
 				last = refused
 			}
@@ -159,7 +129,6 @@
 		}
 		avoid[ent.ID] = true
 		last = arq.tryServer(ctx, ent)
-		reached = reached || !last.unsent
 		took = arq.srv.clk.Now().Sub(now)
 		if last.reason == reasonServerRefused {
 			arq.serversRefused()
@@ -317,15 +286,6 @@
 	return outcome{}
 }
 
-// mayRetry reports whether the retry budget allows a retry, without spending
-// it.
-func (arq *activeRequest) mayRetry() bool {
-	pln := arq.srv.pln
-	pln.mu.Lock()
-	defer pln.mu.Unlock()
-	return pln.budget.Allow(arq.srv.clk.Now(), arq.service, arq.account())
-}
-
 // checkResponse reports whether a response must not be relayed to the caller,
 // with the outcome.
 func (arq *activeRequest) checkResponse(ent stock.Entry, rep *conns.Reply) (outcome, bool) {
--- a/io/entry/view.go
+++ b/io/entry/view.go
@@ -48,7 +48,7 @@
 	// recently known ones.
 	Live  int
 	Known int
-	// Retries bounds the retries of plain requests.
+	// Retries bounds what this instance sends again.
 	Retries RetryLimits
 	// UndividedAccounts turns the division of plain services between client
 	// accounts off. Notices are the coordinator's last ones, by service.
@@ -79,12 +79,14 @@
 	return svc != nil && svc.Batch != nil
 }
 
-// RetryLimits is the retry budget of all entry instances together: a ratio of
-// the requests within a window, and a fixed number on top.
+// RetryLimits bounds the retries of all entry instances together: a ratio of
+// the requests within a window, and a fixed number on top, of which this instance may use
+// Part, in [0,1].
 type RetryLimits struct {
 	Ratio  float64
 	Slack  int
 	Window time.Duration
+	Part   float64
 }
 
 // Control is the interface of the control state to request handling. Its
--- a/io/mesh/message.go
+++ b/io/mesh/message.go
@@ -148,12 +148,6 @@
 	// Speeds has the lasting speeds of engines by service, for an instance that may
 	// become the coordinator.
 	Speeds struct{ Records map[string][]speed.Record }
-	// Retries has the counts of the retry budget, and for how long all retries are known,
-	// for an instance that may become the coordinator.
-	Retries struct {
-		Counts []sched.RetryCount
-		Known  time.Duration
-	}
 	// Standings names the client accounts over their share, and replaces what the
 	// same sender named before.
 	Standings struct{ List []fair.Standing }
@@ -186,7 +180,6 @@
 	_ Message = Streams{}
 	_ Message = AskStream{}
 	_ Message = Speeds{}
-	_ Message = Retries{}
 )
 
 func (msg Heartbeat) encode(time.Time) *wire.Envelope {
@@ -332,7 +325,7 @@
 func fromSpec(now time.Time, spc *sched.Spec) *wire.Submit {
 	out := &wire.Submit{
 		Id: spc.Key.ID, Service: spc.Service, PieceKey: spc.PieceKey, Prompt: int32(spc.PromptTokens), Output: int32(spc.MaxOutputTokens),
-		Priority: int32(spc.Priority), Urgency: int32(spc.Urgency), Print: spc.Fingerprint, Account: spc.Account, Avoid: spc.Avoid, Again: spc.Retry, Unsent: spc.Unsent, Zone: spc.Zone, Attempt: spc.Attempt, Software: spc.Version, GoesOn: spc.GoesOn, Resubmitted: spc.Resubmitted,
+		Priority: int32(spc.Priority), Urgency: int32(spc.Urgency), Print: spc.Fingerprint, Account: spc.Account, Avoid: spc.Avoid, Again: spc.Retry, Zone: spc.Zone, Attempt: spc.Attempt, Software: spc.Version, GoesOn: spc.GoesOn,
 		Arrived: spc.Arrived.Sub(now).Microseconds(), Aim: spc.Target.Sub(now).Microseconds(),
 		Give: spc.GiveUp.Sub(now).Microseconds(), End: spc.Deadline.Sub(now).Microseconds(),
 	}
@@ -375,7 +368,7 @@
 		Key: sched.Key{Owner: owner, ID: sub.GetId()}, Zone: sub.GetZone(), Service: sub.GetService(), PieceKey: sub.GetPieceKey(),
 		PromptTokens: int(sub.GetPrompt()), MaxOutputTokens: int(sub.GetOutput()), Priority: int(sub.GetPriority()), Urgency: int(sub.GetUrgency()), Fingerprint: sub.GetPrint(), Account: sub.GetAccount(),
 		Arrived: at(sub.GetArrived()), Target: at(sub.GetAim()), GiveUp: at(sub.GetGive()), Deadline: at(sub.GetEnd()),
-		Avoid: sub.GetAvoid(), Retry: sub.GetAgain(), Unsent: sub.GetUnsent(), Version: sub.GetSoftware(), GoesOn: sub.GetGoesOn(), Resubmitted: sub.GetResubmitted(), Attempt: sub.GetAttempt(), Pieces: fromInt32(sub.GetPieces()),
+		Avoid: sub.GetAvoid(), Retry: sub.GetAgain(), Version: sub.GetSoftware(), GoesOn: sub.GetGoesOn(), Attempt: sub.GetAttempt(), Pieces: fromInt32(sub.GetPieces()),
 	}
 	for _, stg := range sub.GetStages() {
 		spc.Stages = append(spc.Stages, table.Stage{Service: stg.GetService(), DependsOn: fromInt32(stg.GetAfter()), ResultSize: stg.GetSize()})
@@ -592,8 +585,6 @@
 	case *wire.Envelope_AskStream:
 		ask := bod.AskStream
 		return AskStream{ID: ask.GetId(), Service: ask.GetService(), Span: time.Duration(ask.GetSpan()) * time.Microsecond}
-	case *wire.Envelope_Retries:
-		return toRetries(bod.Retries)
 	case *wire.Envelope_Speeds:
 		return toSpeeds(bod.Speeds)
 	case *wire.Envelope_Held:
--- a/io/mesh/message_test.go
+++ b/io/mesh/message_test.go
@@ -210,12 +210,3 @@
 	require.LessOrEqual(t, report, 320)
 	require.LessOrEqual(t, notice, 180)
 }
-
-// Counts of the retry budget arrive as they were sent, and those that no window can have are
-// left out.
-func TestRetriesRoundTrip(t *testing.T) {
-	msg := Retries{Counts: []sched.RetryCount{{Service: "chat", Age: 9 * time.Second, First: 40, Retries: 3}, {Service: "chat", First: 1}, {Service: "model", Age: time.Second, Retries: 2}}, Known: 4 * time.Second}
-	require.Equal(t, msg, roundTrip(t, time.Unix(1000, 0), msg))
-	odd := Retries{Counts: []sched.RetryCount{{Service: "chat", First: -1}}, Known: -time.Second}
-	require.Equal(t, Retries{}, roundTrip(t, time.Unix(1000, 0), odd))
-}
--- a/stand/replay/loss.go
+++ b/stand/replay/loss.go
@@ -90,7 +90,7 @@
 
 func (sim *simulation) addInstance() {
 	ins := &instance{sim: sim, num: len(sim.instances)}
-	ins.sch = sched.New(ins, sched.NewRetryBudget(0.2, 50, 10*time.Second), rates.NewLimiter()).WithPolicy(sim.ply)
+	ins.sch = sched.New(ins, rates.NewLimiter()).WithPolicy(sim.ply)
 	ins.sch.Configure(sim.now, sim.tab, sim.live)
 	sim.instances = append(sim.instances, ins)
 }
