While all instances stop, one of them coordinates

Callers and servers saw: a server that states a rate of 5 requests a second got 84 in 4 s, 35 allowed, while eight instances were stopping at once.

Cause: a stopping instance takes no duty, so that none qualifies once all are stopping, and each coordinates for itself. Each then uses the share of the rate that the live members have, which is the whole.

Change: while all stop, the last one that wasn't stopping goes on coordinating, and after it the most senior of them. Views of a roll agree on it, since all of them had it as the coordinator.

Ruled out: dividing the rate among those who coordinate for themselves. Each would send the least that finds out about a limit's end, together too much.

--- a/core/member/member.go
+++ b/core/member/member.go
@@ -123,6 +123,8 @@
 	self      Member
 	heartbeat Heartbeat
 	others    map[string]*peerInfo
+	// coordinator is the address of the coordinator that was last determined.
+	coordinator string
 }
 
 // NewSet returns the set of an instance that knows only itself.
@@ -401,24 +403,49 @@
 }
 
 // Coordinator returns the address of the member that makes the calls to the
-// backend servers. It is this instance if no other qualifies.
+// backend servers. It is this instance if no other qualifies. While all are leaving it is
+// the last one that wasn't, and once that one is gone the most senior: if each
+// coordinated for itself, each would use the whole of what all have together.
 func (set *Set) Coordinator(now time.Time) string {
-	best, found, overloaded := set.self, set.heartbeat.Ready && !set.heartbeat.Leaving, set.heartbeat.Overloaded
+	best, fit := set.self, set.fitness(set.self, set.heartbeat)
 	for _, inf := range set.others {
-		if !set.isLive(now, inf) || inf.heartbeat.Leaving || !inf.heartbeat.Ready {
+		if !set.isLive(now, inf) {
 			continue
 		}
-		better := precedes(inf.Member, best)
-		if inf.heartbeat.Overloaded != overloaded {
-			better = overloaded
-		}
-		if !found || better {
-			best, found, overloaded = inf.Member, true, inf.heartbeat.Overloaded
+		own := set.fitness(inf.Member, inf.heartbeat)
+		if own > fit || own == fit && own > unfit && precedes(inf.Member, best) {
+			best, fit = inf.Member, own
 		}
 	}
+	set.coordinator = best.Address
 	return best.Address
 }
 
+// fitness orders members by how fit they are to coordinate.
+type fitness int
+
+const (
+	unfit fitness = iota
+	leaving
+	leavingLast
+	overloaded
+	fit
+)
+
+func (set *Set) fitness(mem Member, bea Heartbeat) fitness {
+	switch {
+	case !bea.Ready:
+		return unfit
+	case bea.Leaving && mem.Address == set.coordinator:
+		return leavingLast
+	case bea.Leaving:
+		return leaving
+	case bea.Overloaded:
+		return overloaded
+	}
+	return fit
+}
+
 // Successors returns the addresses of the members that may be the next coordinator of
 // all instances, or of one zone alone: the most senior ready member of each zone, other
 // than this instance.
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -40,6 +40,52 @@
 	require.Equal(t, "b", set.Coordinator(at(2*time.Second)), "no other member qualifies")
 }
 
+// All members are stopping. They must agree on the one that was the last not to, and on
+// another one when it is gone.
+func TestAllStoppingMembersAgreeOnACoordinator(t *testing.T) {
+	list := []Member{{Address: "a", Zone: "z1", StartedAt: 10}, {Address: "b", Zone: "z1", StartedAt: 20}, {Address: "c", Zone: "z2", StartedAt: 30}}
+	sets := map[string]*Set{}
+	for _, own := range list {
+		sets[own.Address] = NewSet(own)
+		for _, mem := range list {
+			if mem != own {
+				sets[own.Address].Linked(start, mem)
+			}
+		}
+	}
+	hear := func(address string, bea Heartbeat) {
+		for own, set := range sets {
+			if own == address {
+				set.SetHeartbeat(bea)
+			} else {
+				set.HeartbeatReceived(start, address, bea)
+			}
+		}
+	}
+	agree := func(address string) {
+		t.Helper()
+		for own, set := range sets {
+			require.Equal(t, address, set.Coordinator(start), own)
+		}
+	}
+	for _, mem := range list {
+		hear(mem.Address, Heartbeat{Ready: true})
+	}
+	agree("a")
+	hear("a", Heartbeat{Ready: true, Leaving: true})
+	agree("b")
+	hear("c", Heartbeat{Ready: true, Leaving: true})
+	hear("b", Heartbeat{Ready: true, Leaving: true})
+	agree("b")
+	delete(sets, "b")
+	for _, set := range sets {
+		set.Unlinked(start, "b")
+	}
+	agree("a")
+	hear("c", Heartbeat{Ready: true})
+	agree("c")
+}
+
 // Those who may become the coordinator next, if it is lost or a zone is cut off, must be
 // live members of each zone.
 func TestSuccessorsAreOfEachZone(t *testing.T) {
