The demo of the published platform sends requests of a client account

Who followed the README saw: lovagestand demo -platform serves 0 of its 15 requests, each 401.

Cause: the routes need an API key since client accounts were added to the stand-in's configuration, and neither the demo's requests nor the curl line of demo -platform -keep named one.

Change: both name an account; with -keep, requests sent by hand no longer make the demo fail, as its checker can't know them.

--- a/stand/field/demo.go
+++ b/stand/field/demo.go
@@ -21,7 +21,7 @@
 	}
 	for _, ins := range clu.instances {
 		for _, rte := range routes {
-			rqt := &request{id: ins.boot.Name + "-" + rte, route: rte, instance: ins}
+			rqt := &request{id: ins.boot.Name + "-" + rte, account: accounts[0], route: rte, instance: ins}
 			clu.requests = append(clu.requests, rqt)
 			clu.send(ctx, rqt, 0)
 			if rqt.err != nil {
@@ -32,14 +32,15 @@
 		}
 	}
 	if keep {
-		call := fakes.CallerRequest{ID: "by-hand", Path: "/llm/x", Body: "hello", Pieces: "2,1"}
+		call := fakes.CallerRequest{ID: "by-hand", Path: "/llm/x", Body: "hello", Pieces: "2,1", Key: apiKey(accounts[0])}
 		fmt.Fprintf(opt.Out, "to send a request, run for example:\n  %s\nthe logs are written to %s on exit\n", call.CurlCommand(clu.instances[0].boot.CallerAddr()), filepath.Clean(opt.Dir))
 		<-ctx.Done()
 	}
 	clu.Stop()
 	rep := clu.report()
 	fmt.Fprintln(opt.Out, rep)
-	if rep.Served < rep.Requests || len(rep.Problems) > 0 {
+	// The checker doesn't know requests that were sent by hand.
+	if rep.Served < rep.Requests || len(rep.Problems) > 0 && !keep {
 		return errors.Errorf("%d of %d requests were served: %v", rep.Served, rep.Requests, rep.Problems)
 	}
 	return nil
--- a/stand/field/field_test.go
+++ b/stand/field/field_test.go
@@ -56,6 +56,15 @@
 	return clu, sends
 }
 
+// The demo must send requests that are served, on every route of every instance.
+func TestDemoServesEveryRoute(t *testing.T) {
+	dir := t.TempDir()
+	require.NoError(t, world.Build(dir))
+	var out bytes.Buffer
+	require.NoError(t, Demo(context.Background(), Options{Seed: 97, InstancesPerZone: 1, Dir: dir, Out: &out}, false), "%s", out.String())
+	require.Contains(t, out.String(), "15 requests: 15 served")
+}
+
 // The coordinator that an instance knows is taken from its log.
 func TestCoordinatorOf(t *testing.T) {
 	require.Equal(t, "a:1", coordinatorOf("a:1", `{"msg":"start","told":"a:1"}`))
