Streams don't go on at a server's start that has ended

An engine started again under its ID as another version, and its old entry still named the version before.

Cause: the version of a stream was compared with the entry of an ID, while the start that the entry speaks of had been seen to end: its connections closed, new ones refused. Class: what is known of one start was applied to the next.

Change: starts that crash evidence calls ended are remembered at all instances, and no stream goes on there until an entry names the next start. A start whose server writes two more entries lives on.

--- /dev/null
+++ b/core/resume/ends.go
@@ -0,0 +1,76 @@
+package resume
+
+import (
+	"time"
+
+	"lovagestream/core/stock"
+)
+
+const (
+	// endTime is how long the end of a server's start is remembered: entries of the next
+	// start come within seconds, and name another.
+	endTime = 30 * time.Second
+	// maxEnds bounds the starts that are remembered.
+	maxEnds = 1024
+	// lateEntries is how many entries that a server wrote before its end may arrive after it.
+	lateEntries = 1
+)
+
+// Ends are the starts of servers that seem to have ended: their connections were closed and
+// new ones refused. What software answers at their addresses isn't known until an entry says
+// so. The zero value is empty.
+type Ends struct {
+	ends map[string]end
+}
+
+// end is the end of a start.
+type end struct {
+	until time.Time
+	// sequence is that of the last entry before the end.
+	sequence int64
+}
+
+// Add adds a start of which the last entry is known. It reports whether it is new.
+func (ens *Ends) Add(now time.Time, last stock.Entry) bool {
+	if ens.ends == nil {
+		ens.ends = map[string]end{}
+	}
+	start := last.Start()
+	if _, have := ens.ends[start]; have || len(ens.ends) >= maxEnds {
+		return false
+	}
+	ens.ends[start] = end{until: now.Add(endTime), sequence: last.Sequence}
+	return true
+}
+
+// Observe forgets starts that ended long ago, and those that have not ended: they go on
+// writing entries. It reports whether there were any.
+func (ens *Ends) Observe(now time.Time, live []stock.Entry) bool {
+	before := len(ens.ends)
+	if before == 0 {
+		return false
+	}
+	for start, end := range ens.ends {
+		if now.After(end.until) {
+			delete(ens.ends, start)
+		}
+	}
+	for _, ent := range live {
+		if end, have := ens.ends[ent.Start()]; have && ent.Sequence > end.sequence+lateEntries {
+			delete(ens.ends, ent.Start())
+		}
+	}
+	return len(ens.ends) < before
+}
+
+// Starts returns the starts that seem to have ended, or nil.
+func (ens *Ends) Starts() map[string]bool {
+	if len(ens.ends) == 0 {
+		return nil
+	}
+	out := make(map[string]bool, len(ens.ends))
+	for start := range ens.ends {
+		out[start] = true
+	}
+	return out
+}
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -291,6 +291,7 @@
 		LimitedServers: ctl.limits.servers(), BrittleServers: ctl.limits.limiter.BrittleServers(), LimitedServices: ctl.limits.services(now, ctl.servers),
 		Retries:           entry.RetryLimits{Ratio: ctl.set.RetryRatio, Slack: ctl.set.RetrySlack, Window: ctl.set.RetryWindow, Part: ctl.mem.Part(ctl.set.Zones)},
 		CloseConnections:  ctl.throttle.Limited(),
+		EndedStarts:       ctl.streams.ends.Starts(),
 		UndividedAccounts: ctl.set.UndividedAccounts, Notices: ctl.accounts.byResource(now),
 	}
 	ctl.view.Store(viw)
--- a/io/edge/crashes.go
+++ b/io/edge/crashes.go
@@ -33,6 +33,9 @@
 func (ctl *Control) addCrashes(now time.Time, list ...mesh.Crash) {
 	var reports []marks.Report
 	for _, msg := range list {
+		if msg.Ended {
+			ctl.addEnd(now, msg.Server)
+		}
 		crs := marks.NewCrash(msg.Server, msg.At)
 		if msg.Ended {
 			crs = crs.WithEnd()
@@ -57,6 +60,15 @@
 	ctl.refuseWaiting(now)
 }
 
+// addEnd adds a start that has ended, if its server's entries name no later one.
+func (ctl *Control) addEnd(now time.Time, start string) {
+	for _, ent := range ctl.live {
+		if ent.Start() == start && ctl.streams.ends.Add(now, ent) {
+			ctl.viewStale = true
+		}
+	}
+}
+
 // marksChanged logs the causes of crashes that were found or cleared.
 func (ctl *Control) marksChanged(now time.Time) {
 	ctl.viewStale = true
--- a/io/edge/streams.go
+++ b/io/edge/streams.go
@@ -24,7 +24,9 @@
 type streams struct {
 	records  *resume.Registry
 	versions *resume.Versions
-	lookups  map[string]*lookup
+	// ends are the starts of servers at which no stream goes on.
+	ends    resume.Ends
+	lookups map[string]*lookup
 	// fresh is set while the view of the servers is up to date.
 	fresh bool
 	// spans are the time spans of services by the configuration.
@@ -53,6 +55,9 @@
 func (ctl *Control) updateStreams(now time.Time) {
 	stm := ctl.streams
 	stm.fresh = ctl.mem.StoreFresh(now, ctl.storeAt)
+	if stm.ends.Observe(now, ctl.live) {
+		ctl.viewStale = true
+	}
 	if now.Sub(stm.sweptAt) >= sweepPeriod {
 		stm.sweptAt = now
 		stm.records.Sweep(now)
--- a/io/entry/takeup.go
+++ b/io/entry/takeup.go
@@ -70,7 +70,8 @@
 	if arq.stream.Known() && !arq.stream.Inferred || arq.uncertain {
 		return
 	}
-	if cur, have := arq.currentEntry(ent.ID); have && cur.Start() != ent.Start() {
+	cur, have := arq.currentEntry(ent.ID)
+	if have && cur.Start() != ent.Start() || arq.srv.ctl.View().EndedStarts[ent.Start()] {
 		arq.uncertain = true
 		return
 	}
@@ -100,7 +101,13 @@
 		return true
 	}
 	cur, have := arq.currentEntry(ent.ID)
-	return ent.Version == arq.stream.Version && (!have || cur.Version == arq.stream.Version)
+	return ent.Version == arq.stream.Version && (!have || cur.Version == arq.stream.Version) && !arq.hasEnded(ent)
+}
+
+// hasEnded reports whether a server's start has ended. A lost path looks the same, unless
+// other instances reach the server.
+func (arq *activeRequest) hasEnded(ent stock.Entry) bool {
+	return arq.srv.ctl.View().EndedStarts[ent.Start()] && !arq.srv.poo.NoPathTo(arq.service, ent.Address)
 }
 
 // avoidOtherVersions adds the servers that may not serve the stream to a set.
--- a/io/entry/takeup_test.go
+++ b/io/entry/takeup_test.go
@@ -89,3 +89,27 @@
 	require.EqualValues(t, 1, runs.Load())
 	require.Empty(t, fix.ctl.begun)
 }
+
+// A server's start was seen to end, and no entry names the next one. Its software isn't known,
+// so no stream must go on there, and a stream that begins there must not be recorded.
+func TestNoStreamGoesOnAtAnEndedStart(t *testing.T) {
+	for name, svc := range map[string]*table.Service{"model": modelService, "plain": plainService} {
+		t.Run(name, func(t *testing.T) {
+			var ended, sound atomic.Int64
+			gone := eventServer(t, &ended, "v2", false, nil)
+			fix := newFixture(t, &table.Route{Kind: call.Stream, Resumable: true, MaxAttempts: 2}, svc, gone, eventServer(t, &sound, "v2", false, nil))
+			fix.updateView(func(viw *entry.View) { viw.EndedStarts = map[string]bool{gone.Start(): true} })
+			for range 4 {
+				fix.ctl.placed.Store(0)
+				got := fix.send(t, "/p/x", "After", "4", "Resumes", "svc/v2")
+				require.Equal(t, http.StatusOK, got.status)
+			}
+			require.Zero(t, ended.Load())
+			require.EqualValues(t, 4, sound.Load())
+			fix.updateView(func(viw *entry.View) { viw.EndedStarts[fix.ctl.engines[1].Start()] = true })
+			fix.ctl.placed.Store(0)
+			require.Equal(t, http.StatusServiceUnavailable, fix.send(t, "/p/x", "After", "4", "Resumes", "svc/v2").status)
+			require.EqualValues(t, 4, ended.Load()+sound.Load())
+		})
+	}
+}
--- a/io/entry/view.go
+++ b/io/entry/view.go
@@ -39,6 +39,9 @@
 	// stop ends; it is set once callers' connections should be closed.
 	Stopping  bool
 	ClosingAt time.Time
+	// EndedStarts holds the starts of servers that seem to have ended. Another start with
+	// other software may answer at their addresses. It is nil if there are none.
+	EndedStarts map[string]bool
 	// CloseConnections is set while the instance is short of processor time. Responses
 	// say that their connection closes, since callers' next ones may meet others.
 	CloseConnections bool
