A test that the parts of the retry budget add up to the whole

It plays a fleet of four uneven zones, zones that are cut off since their start, and a start of all instances that see nobody yet. It fails if Part divides by the members that an instance knows: the zones alone then take four times the whole (checked by hand with 1/(1+len(others))).

--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -402,3 +402,29 @@
 	set.HeartbeatReceived(at(2*time.Second), "a", Heartbeat{Ready: true})
 	require.False(t, set.Live(at(3200*time.Millisecond), "a"), "the excuse is of an earlier silence")
 }
+
+// Parts of what all instances have together must not exceed the whole: in a fleet, in zones
+// that are cut off, and after a start of all of them that see nobody yet or their zone alone.
+func TestPartsAddUpToTheWhole(t *testing.T) {
+	list := []Member{{Address: "a1", Zone: "a"}, {Address: "a2", Zone: "a"}, {Address: "a3", Zone: "a"}, {Address: "b1", Zone: "b"}, {Address: "b2", Zone: "b"}, {Address: "c1", Zone: "c"}, {Address: "d1", Zone: "d"}, {Address: "d2", Zone: "d"}}
+	sum := func(zones int, sees func(own, oth Member) bool) (total float64) {
+		for num, own := range list {
+			own.StartedAt = int64(num + 1)
+			set := NewSet(own)
+			for num, oth := range list {
+				oth.StartedAt = int64(num + 1)
+				if oth != own && sees(own, oth) {
+					set.Learn(start, []Member{oth})
+				}
+			}
+			total += set.Part(zones)
+		}
+		return total
+	}
+	everybody := func(_, _ Member) bool { return true }
+	require.InDelta(t, 1, sum(4, everybody), 1e-9)
+	require.InDelta(t, 1, sum(0, everybody), 1e-9, "the settings name no zones")
+	require.InDelta(t, 1, sum(4, func(own, oth Member) bool { return own.Zone == oth.Zone }), 1e-9)
+	nobody := sum(4, func(_, _ Member) bool { return false })
+	require.LessOrEqual(t, nobody*0.25, 1.0, "a quarter is used after a start")
+}
