Responses' heads are read within bounds

What callers saw: nothing yet; from now on a server in trouble may send bytes without end in place of an answer. Callers would have heard 504 at their deadline, or lost their instance to want of memory, and with it all its requests.

Cause: http.ReadResponse on a connection of our own reads a head until its server ends it. http.Transport bounds what it reads, and was replaced for another reason. The class: a reader that trusts the other side to end.

Change: while a head is read, what comes from the socket is bounded: 32 kB over all heads of an exchange, informational ones too, and two seconds from the first bytes to the end. A response to another request that comes first is skipped within 256 kB and the same time. The bound is taken from the socket's reader, not from the parser, since readers of lines drop an error that comes inside a line. Such a response counts as none: the connection is closed, the server judged as one that gave no answer, not as crashed; the request goes elsewhere where it may run again. Reason answer-too-long, metric responses-over-bound; relays tell it to the instance that asked.

--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
+	"lovagestream/core/call"
 	"lovagestream/io/clock"
 	"lovagestream/io/group"
 )
@@ -85,15 +86,17 @@
 	// open is the number of connections by address, including idle ones and
 	// those being opened.
 	open map[string]int
-	// opened counts connections opened, connects the attempts by their result.
-	opened   int64
-	connects map[string]int64
+	// opened counts connections opened, connects the attempts by their result, overBound the
+	// responses beyond a bound by the part that the bound is on.
+	opened    int64
+	connects  map[string]int64
+	overBound map[string]int64
 }
 
 // NewPool returns a pool whose connections have the local address localAddr, or
 // any if it is nil.
 func NewPool(clk clock.Service, grp *group.Group, localAddr *net.TCPAddr) *Pool {
-	poo := &Pool{clk: clk, grp: grp, idle: map[string][]*conn{}, open: map[string]int{}, connects: map[string]int64{}, paths: newPaths()}
+	poo := &Pool{clk: clk, grp: grp, idle: map[string][]*conn{}, open: map[string]int{}, connects: map[string]int64{}, overBound: map[string]int64{}, paths: newPaths()}
 	dlr := Dialer(localAddr)
 	poo.dial = dlr.DialContext
 	return poo
@@ -133,7 +136,9 @@
 type conn struct {
 	net.Conn
 	address string
-	rdr     *bufio.Reader
+	// rdr buffers what soc reads.
+	rdr *bufio.Reader
+	soc socketReader
 	// expires is the time from which the connection must not be reused.
 	expires time.Time
 	used    bool
@@ -240,7 +245,9 @@
 		poo.release(req.Address)
 		return nil, err
 	}
-	return &conn{Conn: raw, address: req.Address, rdr: bufio.NewReaderSize(raw, readBufferSize)}, nil
+	con := &conn{Conn: raw, address: req.Address, soc: socketReader{con: raw, clk: poo.clk}}
+	con.rdr = bufio.NewReaderSize(&con.soc, readBufferSize)
+	return con, nil
 }
 
 // DialTimeoutError is the error of a connection that didn't open in time.
@@ -381,3 +388,21 @@
 	defer poo.mu.Unlock()
 	return maps.Clone(poo.connects)
 }
+
+// OverBound returns the number of responses beyond a bound by the part that the bound is on.
+func (poo *Pool) OverBound() map[string]int64 {
+	poo.mu.Lock()
+	defer poo.mu.Unlock()
+	return maps.Clone(poo.overBound)
+}
+
+// CountBound counts the error of a response if it is a *call.BoundError, and returns it.
+func (poo *Pool) CountBound(err error) error {
+	var bnd *call.BoundError
+	if errors.As(err, &bnd) {
+		poo.mu.Lock()
+		defer poo.mu.Unlock()
+		poo.overBound[bnd.Part]++
+	}
+	return err
+}
--- a/io/conns/endless_test.go
+++ b/io/conns/endless_test.go
@@ -25,6 +25,9 @@
 	mostRead     = 1 << 20
 )
 
+// endOfResponse is the pause of a response that has no rest.
+const endOfResponse = -1
+
 // writeEndless answers each request on a connection with begin, and rest again and again,
 // each after a pause.
 func writeEndless(t *testing.T, begin, rest string, pause time.Duration) (address string) {
@@ -53,7 +56,7 @@
 					return nil
 				}
 				_, err := io.WriteString(con, begin)
-				for sent := 0; err == nil && sent < endlessBytes; sent += len(again) {
+				for sent := 0; err == nil && pause != endOfResponse && sent < endlessBytes; sent += len(again) {
 					time.Sleep(pause)
 					_, err = con.Write(again)
 				}
--- a/io/conns/exchange.go
+++ b/io/conns/exchange.go
@@ -127,7 +127,7 @@
 		return nil
 	})
 	wat := poo.watchResponse(req, con)
-	err = rep.read(id, head)
+	err = poo.CountBound(rep.read(id, head))
 	if wat.end(err) {
 		err = &PathError{Address: req.Address}
 	}
@@ -160,10 +160,16 @@
 }
 
 func (rep *Reply) read(id string, head HeadDecoder) error {
+	left := int64(maxHeadBytes)
 	for range maxResponses {
+		rep.con.soc.bind(partHead, maxHeadBytes, left)
 		// Closing the body would read the rest of it; the connection is closed
 		// instead.
 		res, err := http.ReadResponse(rep.con.rdr, rep.req) //nolint:bodyclose // see above
+		left = rep.con.soc.release()
+		if bnd := rep.con.soc.exceeded; bnd != nil {
+			return bnd
+		}
 		if err != nil {
 			return err
 		}
@@ -188,16 +194,29 @@
 			rep.scanEvents()
 			return nil
 		}
-		if _, err := io.Copy(io.Discard, res.Body); err != nil {
-			return errors.Wrap(err, "skip the response to another request")
-		}
-		if res.Close {
-			return errors.New("the server closed the connection after the response to another request")
+		if err := rep.con.skip(res); err != nil {
+			return err
 		}
 	}
 	return errors.New("no final response to this request among the responses received")
 }
 
+// skip reads the body of a response to another request.
+func (con *conn) skip(res *http.Response) error {
+	if res.ContentLength > maxSkippedBytes {
+		return &call.BoundError{Part: partSkipped, Bytes: maxSkippedBytes}
+	}
+	con.soc.bind(partSkipped, maxSkippedBytes, maxSkippedBytes)
+	defer con.soc.release()
+	if _, err := io.Copy(io.Discard, res.Body); err != nil {
+		return errors.Wrap(err, "skip the response to another request")
+	}
+	if res.Close {
+		return errors.New("the server closed the connection after the response to another request")
+	}
+	return nil
+}
+
 // framing returns the framing of a response.
 func framing(res *http.Response) call.Framing {
 	switch {
--- a/io/edge/gauges.go
+++ b/io/edge/gauges.go
@@ -96,6 +96,7 @@
 	nod.gau.Read("connections-per-second-limit", func() any { _, rate := nod.ctl.throttle.State(); return rate })
 	nod.gau.Read("connections-made", func() any { return nod.poo.Opened() })
 	nod.gau.Read("services-lost", func() any { return nod.poo.LostServices() })
+	nod.gau.Read("responses-over-bound", func() any { return nod.poo.OverBound() })
 	nod.gau.Read("connects", func() any { return nod.poo.Connects() })
 	nod.gau.Read("peer-bytes-waiting", func() any { return nod.transport.QueuedBytes() })
 	nod.gau.Read("peer-messages-left-out", func() any { return nod.transport.DroppedMessages() })
--- a/io/edge/relay.go
+++ b/io/edge/relay.go
@@ -225,7 +225,10 @@
 	var sen *conns.SendError
 	var pau *pause.Error
 	var lim *conns.ConnLimitError
+	var bnd *call.BoundError
 	switch {
+	case errors.As(err, &bnd):
+		out.Cause = mesh.RelayTooLong
 	case errors.As(err, &sen) && sen.Sent:
 		if conns.ServerClosed(err) && ctx.Err() == nil {
 			out.Cause = mesh.RelayClosed
--- a/io/entry/notsent.go
+++ b/io/entry/notsent.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/pkg/errors"
 
+	"lovagestream/core/call"
 	"lovagestream/core/marks"
 	"lovagestream/core/pause"
 	"lovagestream/core/place"
@@ -21,6 +22,8 @@
 	// reasonPathLost is the reason of requests that were given up, since the path was
 	// lost while they waited for a response.
 	reasonPathLost = "path-lost"
+	// reasonTooLong is the reason of responses that exceed a bound on their size or time.
+	reasonTooLong = "answer-too-long"
 	// reasonCrashes is the reason of requests that are refused since requests like them
 	// crash servers.
 	reasonCrashes = "crashes-servers"
@@ -62,7 +65,11 @@
 // noResponse returns the outcome of a request that was sent and got no response.
 func noResponse(err error, retryable bool) outcome {
 	out := outcome{retryable: retryable, mayHaveRun: true, reason: "no-answer", err: err}
-	if isPathLost(err) {
+	var bnd *call.BoundError
+	switch {
+	case errors.As(err, &bnd):
+		out.reason = reasonTooLong
+	case isPathLost(err):
 		out.reason = reasonPathLost
 	}
 	return out
--- a/io/mesh/relay.go
+++ b/io/mesh/relay.go
@@ -68,6 +68,8 @@
 	RelayEnded
 	// RelayTaken means that all connections that the relay may hold to the server are in use.
 	RelayTaken
+	// RelayTooLong means that the response exceeded a bound on its size or time.
+	RelayTooLong
 )
 
 // String returns the cause as it is named in logs.
@@ -89,6 +91,8 @@
 		return "ended"
 	case RelayTaken:
 		return "connections-taken"
+	case RelayTooLong:
+		return "too-long"
 	}
 	return "failed"
 }
@@ -110,14 +114,16 @@
 	return "relay " + err.Relay + ": " + err.Cause.String() + ": " + err.Text
 }
 
-// Unwrap returns io.ErrUnexpectedEOF if the server closed the connection, and a
-// *call.EndedError if it has ended.
+// Unwrap returns io.ErrUnexpectedEOF if the server closed the connection, a
+// *call.EndedError if it has ended, and a *call.BoundError if its response exceeded a bound.
 func (err *RelayError) Unwrap() error {
 	switch err.Cause {
 	case RelayClosed:
 		return io.ErrUnexpectedEOF
 	case RelayEnded:
 		return &call.EndedError{}
+	case RelayTooLong:
+		return &call.BoundError{Part: "relayed response"}
 	}
 	return nil
 }
@@ -321,7 +327,7 @@
 }
 
 func toRelayError(fai *wire.RelayFailure) *RelayError {
-	return &RelayError{Sent: fai.GetSent(), Cause: RelayCause(min(fai.GetCause(), uint32(RelayTaken))), Text: fai.GetText(), Remaining: time.Duration(fai.GetLeft()) * time.Microsecond}
+	return &RelayError{Sent: fai.GetSent(), Cause: RelayCause(min(fai.GetCause(), uint32(RelayTooLong))), Text: fai.GetText(), Remaining: time.Duration(fai.GetLeft()) * time.Microsecond}
 }
 
 // Read reads the body.
