A body that isn't used delays no second try

What callers saw: an answer at their deadline, or late, where a server rejected their request, was another one than expected or failed, and the body of that response was long or came slowly. The second try began after 8 MB were read, or at the end of the body.

Cause: the body was read to its end before the next server was chosen, so that the connection could be used again; the decision needs the head alone. Calls to stage servers read the body before they looked at the status, and a server error was buffered whole before it was dropped.

Change: Reply.Discard returns at once. The status decides before a body is read.

--- a/io/conns/exchange.go
+++ b/io/conns/exchange.go
@@ -84,7 +84,9 @@
 	wrote          chan struct{}
 	requestWritten bool
 	bodyRead       bool
-	server         reach.Server
+	// discarded is set once the rest of the body is read in the background.
+	discarded bool
+	server    reach.Server
 	// heardAt is when a part of the body was last reported to the pool's paths.
 	heardAt time.Time
 	// events scans the body if only its content shows whether it is complete; nil
@@ -274,18 +276,39 @@
 // Close returns the connection to the pool if it can be reused. Otherwise it
 // closes the connection, which tells the server to stop working on the request.
 func (rep *Reply) Close() {
-	if rep.remote != nil {
+	switch {
+	case rep.discarded:
+	case rep.remote != nil:
 		rep.remote.Close()
-		return
-	}
 	// stopCloser returns false if the context has ended and started the
 	// goroutine that closes the connection, which may run later. A connection
 	// that is put back then would be closed during the next request.
-	if rep.stopCloser() && rep.reusable() {
+	case rep.stopCloser():
+		rep.end()
+	default:
+		rep.poo.discard(rep.con)
+	}
+}
+
+// end ends the response once nothing else closes its connection.
+func (rep *Reply) end() {
+	switch {
+	case rep.remote != nil:
+		rep.remote.Close()
+	case rep.reusable():
 		rep.poo.putIdle(rep.con, rep.ResponseHead.IdleTimeout)
+	default:
+		rep.poo.discard(rep.con)
+	}
+}
+
+// abort ends a read of the body.
+func (rep *Reply) abort() {
+	if rep.remote != nil {
+		rep.remote.Close()
 		return
 	}
-	rep.poo.discard(rep.con)
+	_ = rep.con.Close()
 }
 
 // reusable reports whether the connection can be used for another request. It
--- a/io/edge/calls.go
+++ b/io/edge/calls.go
@@ -142,10 +142,7 @@
 	if rep.ResponseHead.Status != http.StatusMisdirectedRequest {
 		cal.ctl.ObserveResponse(ask.Server, rep.ResponseHead)
 	}
-	got, err := io.ReadAll(io.LimitReader(rep, maxAnswerBytes))
 	switch {
-	case err != nil:
-		return nil, sched.NoReply, err
 	case rep.ResponseHead.Status == http.StatusMisdirectedRequest:
 		cal.ctl.WrongServer(ask.Server)
 		return nil, sched.WrongServer, nil
@@ -154,6 +151,10 @@
 	case rep.ResponseHead.Status != http.StatusOK:
 		return nil, sched.NoReply, errors.Errorf("stage server answered with status %d", rep.ResponseHead.Status)
 	}
+	got, err := io.ReadAll(io.LimitReader(rep, maxAnswerBytes))
+	if err != nil {
+		return nil, sched.NoReply, err
+	}
 	results, err := cal.cdc.DecodeStageResults(got)
 	if err != nil {
 		return nil, sched.NoReply, err
@@ -184,8 +185,7 @@
 		if ent.ID != "" {
 			cal.ctl.ObserveResponse(ent, rep.ResponseHead)
 		}
-		_, _ = io.Copy(io.Discard, io.LimitReader(rep, maxAnswerBytes))
-		rep.Close()
+		rep.Discard()
 		return nil
 	})
 }
--- a/io/entry/plain.go
+++ b/io/entry/plain.go
@@ -267,18 +267,19 @@
 		})
 	}
 	if out, failed := arq.checkResponse(ent, rep); failed {
-		_, _ = io.Copy(io.Discard, io.LimitReader(rep, maxResponse))
+		rep.Discard()
 		return out
 	}
-	var buf bytes.Buffer
-	if num, err := io.Copy(&buf, io.LimitReader(rep, maxResponse+1)); err != nil || num > maxResponse {
-		return outcome{retryable: repeatable, mayHaveRun: true, reason: "answer-broken", err: errors.Wrap(err, "body")}
-	}
 	if rep.ResponseHead.Status >= http.StatusInternalServerError && repeatable && arq.attempts < arq.rou.MaxAttempts && arq.deadline.Sub(arq.srv.clk.Now()) > arq.rou.LatencyTarget/2 {
 		if arq.mayRetry() {
+			rep.Discard()
 			return outcome{retryable: true, mayHaveRun: true, reason: "server-error"}
 		}
 	}
+	var buf bytes.Buffer
+	if num, err := io.Copy(&buf, io.LimitReader(rep, maxResponse+1)); err != nil || num > maxResponse {
+		return outcome{retryable: repeatable, mayHaveRun: true, reason: "answer-broken", err: errors.Wrap(err, "body")}
+	}
 	if arq.rou.Kind == call.Stream && arq.rou.Resumable {
 		arq.beginStream(ent)
 	}
