Buffered answers are bounded together, and a cut one is an error

What callers saw: a stream with an event that goes on beyond 1 MB ended with 502 caller-left, also where it may go on elsewhere, and its server counted as sound. Results of a stage longer than 1 MB were cut there, and what was read passed for whole if it could be decoded.

Cause: each reader had a bound of its own and its own idea of what follows one. Nothing bounded what all of them hold: 8 MB a plain answer, 1 MB an event, as many as there are requests, in buffers that double.

Change: Reply.Buffer reads a body into blocks of 16 kB that are used again. The first block of each is free, the others come out of 32 MB for all buffered answers and events of an instance; without room a response fails as no-memory-for-answer, which says nothing of its server. More than the bound is an error with the bound in it: the server counts as failed, and the request or stream goes on where it may. The bound on an answer of a stage follows from the number of its pieces.

--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -80,6 +80,7 @@
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 	paths *paths
+	mem   *Memory
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -96,7 +97,7 @@
 // NewPool returns a pool whose connections have the local address localAddr, or
 // any if it is nil.
 func NewPool(clk clock.Service, grp *group.Group, localAddr *net.TCPAddr) *Pool {
-	poo := &Pool{clk: clk, grp: grp, idle: map[string][]*conn{}, open: map[string]int{}, connects: map[string]int64{}, overBound: map[string]int64{}, paths: newPaths()}
+	poo := &Pool{clk: clk, grp: grp, idle: map[string][]*conn{}, open: map[string]int{}, connects: map[string]int64{}, overBound: map[string]int64{}, paths: newPaths(), mem: newMemory()}
 	dlr := Dialer(localAddr)
 	poo.dial = dlr.DialContext
 	return poo
--- a/io/conns/path.go
+++ b/io/conns/path.go
@@ -343,7 +343,7 @@
 			return false
 		})
 	}
-	rep := &Reply{poo: poo, Header: res.Header, Length: res.Length, Framing: res.Framing, Relay: res.Relay, remote: res.Body, ResponseHead: head(res.Status, res.Header)}
+	rep := &Reply{poo: poo, server: ser, Header: res.Header, Length: res.Length, Framing: res.Framing, Relay: res.Relay, remote: res.Body, ResponseHead: head(res.Status, res.Header)}
 	rep.scanEvents()
 	return rep, nil
 }
--- a/io/conns/prelude.go
+++ b/io/conns/prelude.go
@@ -26,6 +26,7 @@
 const (
 	partHead    = "head"
 	partSkipped = "response to another request"
+	partBody    = "body"
 )
 
 // socketReader reads from a connection, within bounds while a part of a response is read
--- a/io/edge/calls.go
+++ b/io/edge/calls.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -29,9 +28,10 @@
 }
 
 const (
-	// maxAnswerBytes bounds the answer to a call, which has 64 pieces of about a
-	// hundred bytes.
-	maxAnswerBytes = 1 << 20
+	// baseAnswerBytes and pieceAnswerBytes bound the answer to a call: a result is a handle
+	// of about a hundred bytes, or the reason of a failure.
+	baseAnswerBytes  = 4 << 10
+	pieceAnswerBytes = 1 << 10
 	// freeTimeout bounds a request that frees results, which otherwise expire by
 	// themselves.
 	freeTimeout = time.Second
@@ -151,11 +151,12 @@
 	case rep.ResponseHead.Status != http.StatusOK:
 		return nil, sched.NoReply, errors.Errorf("stage server answered with status %d", rep.ResponseHead.Status)
 	}
-	got, err := io.ReadAll(io.LimitReader(rep, maxAnswerBytes))
+	got, err := rep.Buffer(baseAnswerBytes + pieceAnswerBytes*int64(len(ask.Items)))
 	if err != nil {
-		return nil, sched.NoReply, err
+		return nil, sched.NoReply, errors.Wrap(err, "read results")
 	}
-	results, err := cal.cdc.DecodeStageResults(got)
+	defer got.Release()
+	results, err := cal.cdc.DecodeStageResults(got.Bytes())
 	if err != nil {
 		return nil, sched.NoReply, err
 	}
--- a/io/entry/generate.go
+++ b/io/entry/generate.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"lovagestream/core/call"
 	"lovagestream/core/event"
 	"lovagestream/core/place"
 	"lovagestream/core/sched"
@@ -26,6 +27,7 @@
 func (arq *activeRequest) serveGenerate(ctx context.Context) {
 	spc := arq.spec()
 	stm := &stream{arq: arq}
+	defer stm.release()
 	last := sendResult{outcome: outcome{reason: "no-verdict"}}
 	decision := arq.srv.ctl.Submit(spc)
 	for range maxSends {
@@ -235,15 +237,20 @@
 	status   int
 	// events scans the events of a stream that can be resumed.
 	events event.Scanner
-	// partial holds the bytes of an incomplete event.
-	partial []byte
+	// partial holds the bytes of an incomplete event, reserved how many bytes are reserved
+	// for it.
+	partial  []byte
+	reserved int64
 }
 
 const (
 	// readBufferSize is the size of a read from a stream, in bytes.
 	readBufferSize = 4 << 10
-	// maxEventSize is the maximum size of one event, in bytes.
-	maxEventSize = 1 << 20
+	// maxEventSize is the maximum size of one event, in bytes. Beyond freeEventSize it is
+	// kept in the memory that all responses share, reserved in steps.
+	maxEventSize  = 1 << 20
+	freeEventSize = 16 << 10
+	reserveStep   = 64 << 10
 )
 
 // relay forwards an engine's response to the caller.
@@ -256,7 +263,7 @@
 	// If the stream can be resumed on another engine, only complete events are
 	// forwarded, so that the resumed stream continues right after them.
 	resumable := rep.ResponseHead.EventStream && arq.rou.Resumable && rep.ResponseHead.Status == http.StatusOK
-	stm.partial = stm.partial[:0]
+	stm.release()
 	stm.events.Restart()
 	flush := http.NewResponseController(arq.wri)
 	buf := make([]byte, readBufferSize)
@@ -275,7 +282,7 @@
 				arq.reportSound(false)
 			}
 			if perr := stm.forward(ent, buf[:num], resumable); perr != nil {
-				return outcome{mayHaveRun: true, reason: "caller-left", err: perr}, place.Done
+				return stm.forwardFailed(perr, resumable)
 			}
 			if stm.headSent {
 				_ = flush.Flush()
@@ -294,11 +301,32 @@
 			if ctx.Err() == nil {
 				arq.reportCrash(ctx, ent, err, begun)
 			}
-			return outcome{retryable: resumable && stm.events.Resumable() && !arq.uncertain, mayHaveRun: true, reason: "stream-broke", err: err}, place.Failed
+			return outcome{retryable: stm.mayGoOn(resumable), mayHaveRun: true, reason: "stream-broke", err: err}, place.Failed
 		}
 	}
 }
 
+// mayGoOn reports whether the stream may go on at another engine.
+func (stm *stream) mayGoOn(resumable bool) bool {
+	return resumable && stm.events.Resumable() && !stm.arq.uncertain
+}
+
+// forwardFailed returns the outcome of a response of which bytes could not be forwarded.
+func (stm *stream) forwardFailed(err error, resumable bool) (outcome, place.Outcome) {
+	out := outcome{retryable: stm.mayGoOn(resumable), mayHaveRun: true, err: err}
+	var bnd *call.BoundError
+	var mem *conns.MemoryError
+	switch {
+	case errors.As(err, &bnd):
+		out.reason = reasonTooLong
+		return out, place.Failed
+	case errors.As(err, &mem):
+		out.reason = reasonNoMemory
+		return out, place.Done
+	}
+	return outcome{mayHaveRun: true, reason: "caller-left", err: err}, place.Done
+}
+
 // sendHead sends the head of the response, unless one was sent.
 func (stm *stream) sendHead() {
 	if stm.headSent {
@@ -347,11 +375,7 @@
 	}
 	end := stm.events.Scan(got)
 	if end == 0 {
-		stm.partial = append(stm.partial, got...)
-		if len(stm.partial) > maxEventSize {
-			return errors.New("an event exceeds the maximum size")
-		}
-		return nil
+		return stm.keep(ent, got)
 	}
 	if stm.events.Count() > 0 {
 		stm.arq.beginStream(ent)
@@ -364,3 +388,26 @@
 	stm.partial = append(stm.partial[:0], got[end:]...)
 	return nil
 }
+
+// keep keeps bytes of an incomplete event.
+func (stm *stream) keep(ent stock.Entry, got []byte) error {
+	size := len(stm.partial) + len(got)
+	if size > maxEventSize {
+		return stm.arq.srv.poo.CountBound(&call.BoundError{Part: "event", Bytes: maxEventSize})
+	}
+	if more := int64(size-freeEventSize) - stm.reserved; more > 0 {
+		more = (more + reserveStep - 1) / reserveStep * reserveStep
+		if !stm.arq.srv.poo.Memory().Reserve(more) {
+			return &conns.MemoryError{Address: ent.Address, Bytes: int64(len(stm.partial))}
+		}
+		stm.reserved += more
+	}
+	stm.partial = append(stm.partial, got...)
+	return nil
+}
+
+// release drops an incomplete event.
+func (stm *stream) release() {
+	stm.arq.srv.poo.Memory().Release(stm.reserved)
+	stm.partial, stm.reserved = nil, 0
+}
--- a/io/entry/notsent.go
+++ b/io/entry/notsent.go
@@ -24,6 +24,8 @@
 	reasonPathLost = "path-lost"
 	// reasonTooLong is the reason of responses that exceed a bound on their size or time.
 	reasonTooLong = "answer-too-long"
+	// reasonNoMemory is the reason of responses for which this instance has no memory.
+	reasonNoMemory = "no-memory-for-answer"
 	// reasonCrashes is the reason of requests that are refused since requests like them
 	// crash servers.
 	reasonCrashes = "crashes-servers"
@@ -75,10 +77,24 @@
 	return out
 }
 
+// brokenBody returns the outcome of a request whose response's body could not be read.
+func brokenBody(err error, retryable bool) outcome {
+	out := outcome{retryable: retryable, mayHaveRun: true, reason: "answer-broken", err: errors.Wrap(err, "body")}
+	var bnd *call.BoundError
+	var mem *conns.MemoryError
+	switch {
+	case errors.As(err, &bnd):
+		out.reason = reasonTooLong
+	case errors.As(err, &mem):
+		out.reason = reasonNoMemory
+	}
+	return out
+}
+
 // notAttempted reports whether the outcome says nothing about the server.
 func (out *outcome) notAttempted() bool {
 	switch out.reason {
-	case reasonConnLimit, reasonPaused, reasonNoPath, reasonPathLost, reasonCrashes:
+	case reasonConnLimit, reasonPaused, reasonNoPath, reasonPathLost, reasonCrashes, reasonNoMemory:
 		return true
 	}
 	return false
--- a/io/entry/plain.go
+++ b/io/entry/plain.go
@@ -1,16 +1,13 @@
 package entry
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"maps"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"lovagestream/core/call"
 	"lovagestream/core/fair"
 	"lovagestream/core/pick"
@@ -276,14 +273,15 @@
 			return outcome{retryable: true, mayHaveRun: true, reason: "server-error"}
 		}
 	}
-	var buf bytes.Buffer
-	if num, err := io.Copy(&buf, io.LimitReader(rep, maxResponse+1)); err != nil || num > maxResponse {
-		return outcome{retryable: repeatable, mayHaveRun: true, reason: "answer-broken", err: errors.Wrap(err, "body")}
+	body, err := rep.Buffer(maxResponse)
+	if err != nil {
+		return brokenBody(err, repeatable)
 	}
+	defer body.Release()
 	if arq.rou.Kind == call.Stream && arq.rou.Resumable {
 		arq.beginStream(ent)
 	}
-	arq.relay(rep, buf.Bytes())
+	arq.relay(rep, body)
 	return outcome{}
 }
 
@@ -323,12 +321,12 @@
 }
 
 // relay sends a complete response to the caller.
-func (arq *activeRequest) relay(rep *conns.Reply, body []byte) {
+func (arq *activeRequest) relay(rep *conns.Reply, body *conns.Body) {
 	arq.copyHead(rep)
-	arq.wri.Header().Set("Content-Length", itoa(len(body)))
+	arq.wri.Header().Set("Content-Length", strconv.FormatInt(body.Size(), 10))
 	arq.finish(rep.ResponseHead.Status, "answered", nil)
 	arq.wri.WriteHeader(rep.ResponseHead.Status)
-	_, _ = arq.wri.Write(body)
+	_, _ = body.WriteTo(arq.wri)
 	if rep.ResponseHead.Status < http.StatusMultipleChoices {
 		arq.reportSound(true)
 	}
