--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -399,6 +399,9 @@
 
 // CountBound counts the error of a response if it is a *call.BoundError, and returns it.
 func (poo *Pool) CountBound(err error) error {
+	if err == nil {
+		return nil
+	}
 	var bnd *call.BoundError
 	if errors.As(err, &bnd) {
 		poo.mu.Lock()
