--- a/io/order/order.go
+++ b/io/order/order.go
@@ -6,7 +6,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -15,6 +14,7 @@
 
 	"lovagestream/core"
 	"lovagestream/io/clock"
+	"lovagestream/io/frame"
 	"lovagestream/io/group"
 	"lovagestream/io/logs"
 	"lovagestream/io/origin"
@@ -71,7 +71,7 @@
 
 // New returns a Sender. Run must be started before the first order.
 func New(lop Loop, src origin.SourceAddr, clk clock.Service, log *logs.Logger) *Sender {
-	tra := &http.Transport{DialContext: src.DialFunc(callTimeout), MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}
+	tra := &http.Transport{DialContext: src.DialFunc(callTimeout), MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: frame.MaxHeadBytes}
 	return &Sender{lop: lop, clk: clk, log: log, hc: &http.Client{Transport: tra, Timeout: callTimeout}, grp: group.New(context.Background())}
 }
 
@@ -160,7 +160,7 @@
 		return nil, errors.Wrap(err, "call engine")
 	}
 	defer func() { _ = res.Body.Close() }()
-	raw, err := io.ReadAll(io.LimitReader(res.Body, maxReplyBytes))
+	raw, err := frame.ReadAll(res.Body, maxReplyBytes)
 	if err == nil && res.StatusCode != http.StatusOK {
 		err = errors.Errorf("call engine: answered with status %s", res.Status)
 	}
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -7,7 +7,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
@@ -19,6 +18,7 @@
 	"lovagestream/core"
 	"lovagestream/core/config"
 	"lovagestream/io/clock"
+	"lovagestream/io/frame"
 	"lovagestream/io/logs"
 	"lovagestream/io/origin"
 )
@@ -97,7 +97,7 @@
 func NewReader(base string, src origin.SourceAddr, ctl Control, clk clock.Service, log *logs.Logger, seed uint64) *Reader {
 	return &Reader{
 		base: base,
-		hc:   &http.Client{Timeout: callTimeout, Transport: &http.Transport{DialContext: src.DialFunc(callTimeout), MaxIdleConnsPerHost: 2}},
+		hc:   &http.Client{Timeout: callTimeout, Transport: &http.Transport{DialContext: src.DialFunc(callTimeout), MaxIdleConnsPerHost: 2, MaxResponseHeaderBytes: frame.MaxHeadBytes}},
 		ctl:  ctl,
 		clk:  clk,
 		log:  log,
@@ -210,7 +210,7 @@
 	if res.ContentLength < 0 && len(res.TransferEncoding) == 0 {
 		return nil, "", errors.New("read platform: the answer has neither a length nor chunks, so it may be cut")
 	}
-	data, err := io.ReadAll(io.LimitReader(res.Body, 4*config.MaxBytes))
+	data, err := frame.ReadAll(res.Body, 4*config.MaxBytes)
 	if err != nil {
 		return nil, "", errors.Wrap(err, "read platform")
 	}
