A third of the servers answers without end: an instance's memory is measured

Instances of this kind of test are held to 4,100 descriptors from now on, also those that are short of processor time.

--- a/stand/world/proc.go
+++ b/stand/world/proc.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"regexp"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -129,6 +130,21 @@
 	<-prc.done
 }
 
+// PeakMemory returns the largest resident size that the process had, in bytes.
+func (prc *Process) PeakMemory() (int64, error) {
+	doc, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", prc.cmd.Process.Pid))
+	if err != nil {
+		return 0, err
+	}
+	for _, line := range strings.Split(string(doc), "\n") {
+		if val, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			num, err := strconv.ParseInt(strings.TrimSuffix(strings.TrimSpace(val), " kB"), 10, 64)
+			return num << 10, err
+		}
+	}
+	return 0, errors.New("the peak of the memory is not known")
+}
+
 // Running reports whether the process has not ended.
 func (prc *Process) Running() bool {
 	select {
--- a/test/connections_test.go
+++ b/test/connections_test.go
@@ -29,6 +29,8 @@
 	readTime   = time.Second
 	// requestBytes is the size of a request's body: a long prompt.
 	requestBytes = 17 << 10
+	// descriptors is how many file descriptors an instance may have.
+	descriptors = 4100
 )
 
 // fleet is entry instances of the published platform as processes of their own, each
@@ -41,6 +43,8 @@
 	instances []fakes.InstanceSettings
 	processes []*world.Process
 	body      string
+	// routes are those that requests are for, in turn.
+	routes []string
 
 	mu       sync.Mutex
 	requests int
@@ -61,7 +65,7 @@
 // newFleet starts instances with the given share of a processor each, and servers of
 // model engines, and waits until all instances know each other.
 func newFleet(t *testing.T, instances, servers int, share float64) *fleet {
-	flt := &fleet{grp: group.New(context.Background()), sto: fakes.NewStore(), jou: &fakes.Journal{}, body: strings.Repeat("p", requestBytes)}
+	flt := &fleet{grp: group.New(context.Background()), sto: fakes.NewStore(), jou: &fakes.Journal{}, body: strings.Repeat("p", requestBytes), routes: []string{"bare"}}
 	network, held, err := fakes.ClaimNetwork(1)
 	require.NoError(t, err)
 	t.Cleanup(func() {
@@ -89,7 +93,7 @@
 		set := fakes.InstanceSettings{Name: fmt.Sprint("entry-", num+1), IP: fmt.Sprintf("127.%d.%d.%d", network, 1+num%3, 1+num/3), Zone: fmt.Sprint("zone-", num%3), StoreAddr: flt.sto.Address(), Grace: callerTime, Seeds: seeds}
 		path := filepath.Join(t.TempDir(), "settings.yaml")
 		require.NoError(t, os.WriteFile(path, set.File(), 0o600))
-		prc, _, err := world.Start(set.Name, "/usr/bin/env", []string{"GOMAXPROCS=1", filepath.Join(binaries, "lovagestream"), "edge", "-settings", path}, regexp.MustCompile(`"msg":"start"`))
+		prc, _, err := world.Start(set.Name, "/bin/sh", []string{"-c", fmt.Sprintf(`ulimit -n %d && GOMAXPROCS=1 exec "$0" edge -settings "$1"`, descriptors), filepath.Join(binaries, "lovagestream"), path}, regexp.MustCompile(`"msg":"start"`))
 		require.NoError(t, err)
 		flt.instances, flt.processes = append(flt.instances, set), append(flt.processes, prc)
 		if len(seeds) < 3 {
@@ -124,7 +128,7 @@
 	for due := start; due.Sub(start) < wait; due = due.Add(time.Duration(rng.ExpFloat64() / rate * float64(time.Second))) {
 		_ = flt.clk.Sleep(ctx, due.Sub(flt.clk.Now()))
 		flt.requests++
-		num, first, second := flt.requests, flt.requests%len(flt.instances), 1+rng.IntN(len(flt.instances)-1)
+		num, first, second := flt.requests, flt.requests%len(flt.instances), 1+rng.IntN(max(1, len(flt.instances)-1))
 		if rng.Float64() < share {
 			first = 0
 		}
@@ -148,7 +152,7 @@
 	out := outcome{at: start}
 	for try, to := range []int{first, second} {
 		id := fmt.Sprintf("r%d-%d", num, try)
-		status, err := flt.try(ctx, id, to, callerTime-flt.clk.Now().Sub(start))
+		status, err := flt.try(ctx, id, flt.routes[num%len(flt.routes)], to, callerTime-flt.clk.Now().Sub(start))
 		out.took = flt.clk.Now().Sub(start)
 		if err == nil {
 			out.status = status
@@ -162,10 +166,10 @@
 	return out
 }
 
-func (flt *fleet) try(ctx context.Context, id string, to int, left time.Duration) (int, error) {
+func (flt *fleet) try(ctx context.Context, id, route string, to int, left time.Duration) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
-	call := fakes.CallerRequest{ID: id, Path: "/bare/" + id, Body: flt.body, Deadline: left, Parts: "aaaa:20," + id[1:strings.Index(id, "-")] + ":20"}
+	call := fakes.CallerRequest{ID: id, Path: "/" + route + "/" + id, Body: flt.body, Deadline: left, Parts: "aaaa:20," + id[1:strings.Index(id, "-")] + ":20"}
 	req, err := call.Request(ctx, flt.instances[to].CallerAddr())
 	if err != nil {
 		return 0, err
