Requests' bodies are held within bounds together

What callers saw: nothing yet. Callers who send bodies of 4 MB, as large as the configuration allows, and don't end them take an instance's memory; all its other requests end with it.

Cause: the class of the answers without end, on the callers' side: a body is bounded in size and time, but nothing bounds what all of them hold.

--- a/io/conns/body.go
+++ b/io/conns/body.go
@@ -39,15 +39,16 @@
 	return fmt.Sprintf("no memory for more than %d bytes of the response of %s", err.Bytes, err.Address)
 }
 
-// Memory bounds what the responses of one instance hold together. It is safe for concurrent
-// use.
+// Memory bounds what all buffers of one kind hold together at an instance. It is safe for
+// concurrent use.
 type Memory struct {
 	left   *semaphore.Weighted
 	blocks sync.Pool
 }
 
-func newMemory() *Memory {
-	return &Memory{left: semaphore.NewWeighted(maxBuffered), blocks: sync.Pool{New: func() any { return new([blockSize]byte) }}}
+// NewMemory returns a memory of a number of bytes.
+func NewMemory(most int64) *Memory {
+	return &Memory{left: semaphore.NewWeighted(most), blocks: sync.Pool{New: func() any { return new([blockSize]byte) }}}
 }
 
 // Reserve reserves a number of bytes. It returns false if fewer are left.
--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -97,7 +97,7 @@
 // NewPool returns a pool whose connections have the local address localAddr, or
 // any if it is nil.
 func NewPool(clk clock.Service, grp *group.Group, localAddr *net.TCPAddr) *Pool {
-	poo := &Pool{clk: clk, grp: grp, idle: map[string][]*conn{}, open: map[string]int{}, connects: map[string]int64{}, overBound: map[string]int64{}, paths: newPaths(), mem: newMemory()}
+	poo := &Pool{clk: clk, grp: grp, idle: map[string][]*conn{}, open: map[string]int{}, connects: map[string]int64{}, overBound: map[string]int64{}, paths: newPaths(), mem: NewMemory(maxBuffered)}
 	dlr := Dialer(localAddr)
 	poo.dial = dlr.DialContext
 	return poo
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -86,6 +86,8 @@
 	// active is the number of active requests.
 	active  atomic.Int64
 	waiting waitingSends
+	// bodies is the memory of all requests' bodies.
+	bodies *conns.Memory
 	// counts are the requests by client account.
 	countsMu sync.Mutex
 	counts   map[string]*AccountCount
@@ -93,7 +95,7 @@
 
 // New returns the server of the named entry instance in a zone.
 func New(name, zone string, ctl Control, cdc Codec, poo *conns.Pool, clk clock.Service, log *lines.Writer, gau *gauge.Metrics) *Server {
-	return &Server{ctl: ctl, cdc: cdc, poo: poo, clk: clk, log: log, gau: gau, zone: zone, name: name, pln: newPlainState(), ret: retries{started: clk.Now()}, waiting: waitingSends{sends: map[*mover]marks.Request{}}, counts: map[string]*AccountCount{}}
+	return &Server{ctl: ctl, cdc: cdc, poo: poo, clk: clk, log: log, gau: gau, zone: zone, name: name, pln: newPlainState(), ret: retries{started: clk.Now()}, waiting: waitingSends{sends: map[*mover]marks.Request{}}, counts: map[string]*AccountCount{}, bodies: conns.NewMemory(maxBodies)}
 }
 
 // WithTracer sets the tracer that makes spans of requests. It must be called
@@ -124,6 +126,8 @@
 	target   time.Time
 	giveUp   time.Time
 	deadline time.Time
+	// received is the request's body.
+	received receivedBody
 	fpr      marks.Fingerprint
 	// prints are the request's fingerprints, nil until they are needed. cause is the one for
 	// which it is refused, causePart the part of its prompt if it is that.
@@ -183,6 +187,7 @@
 		ctx, arq.spn = srv.trc.StartServerSpan(ctx, htr.Header, "request")
 		defer arq.endSpan()
 	}
+	defer arq.received.release()
 	if !arq.prepare(htr) {
 		return
 	}
--- a/test/endless_test.go
+++ b/test/endless_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -46,3 +49,67 @@
 	require.Less(t, peak, int64(150<<20))
 	require.GreaterOrEqual(t, share, 0.9)
 }
+
+// drip opens connections to an instance and sends begin on each, and rest again and again after
+// a pause, until the context ends. It returns the number of connections that were opened.
+func (flt *fleet) drip(ctx context.Context, num int, begin string, rest string, pause time.Duration) int {
+	opened := 0
+	for range num {
+		con, err := net.DialTimeout("tcp", flt.instances[0].CallerAddr(), time.Second)
+		if err != nil {
+			continue
+		}
+		opened++
+		flt.grp.Go(func(gctx context.Context) error {
+			defer context.AfterFunc(gctx, func() { _ = con.Close() })()
+			defer func() { _ = con.Close() }()
+			_, err := io.WriteString(con, begin)
+			for err == nil && flt.clk.Sleep(ctx, pause) == nil {
+				_, err = io.WriteString(con, rest)
+			}
+			return nil
+		})
+	}
+	return opened
+}
+
+// Callers that send bodies which they don't end must not take an instance's memory, nor hold
+// up the requests of others.
+func TestCallersWhoseBodiesDoNotEnd(t *testing.T) {
+	flt := newFleet(t, 1, 6, 1)
+	const size = 4 << 20
+	cfg := fakes.Config{Version: 2, Timeout: callerTime, MaxAttempts: 2, IdleTimeout: 10 * time.Second, HeaderTimeout: 3 * time.Second, MaxBody: size, Routes: []fakes.Route{{Name: "bare", Kind: "bare", Service: "model"}}}
+	flt.sto.Put("op/config", cfg.Document())
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	require.NoError(t, flt.clk.Sleep(ctx, time.Second))
+	head := fmt.Sprintf("POST /bare/x HTTP/1.1\r\nHost: %s\r\nX-Lovagestream-Request-Id: x\r\nContent-Length: %d\r\n\r\n", fakes.Host, size)
+	flt.drip(ctx, 150, head+strings.Repeat("x", size-1000), "x", 100*time.Millisecond)
+	outcomes := flt.load(100, 0, 6*time.Second)
+	share, _, mean := served(outcomes)
+	peak, err := flt.processes[0].PeakMemory()
+	require.NoError(t, err)
+	t.Logf("served %.3f of %d %v, mean %s, peak of the memory %d MB", share, len(outcomes), statuses(outcomes), mean, peak>>20)
+	require.Less(t, peak, int64(memory))
+	require.GreaterOrEqual(t, share, 0.9)
+}
+
+// memory is an instance's memory, in bytes.
+const memory = 284 << 20
+
+// Callers that open connections and send heads which they don't end, or nothing, must leave an
+// instance descriptors for the requests of others.
+func TestCallersWhoseHeadsDoNotEnd(t *testing.T) {
+	flt := newFleet(t, 1, 6, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	idle := flt.drip(ctx, descriptors/2, "", "", time.Minute)
+	heads := flt.drip(ctx, descriptors/2, "POST /bare/x HTTP/1.1\r\nA: ", "x", time.Second)
+	outcomes := flt.load(100, 0, 6*time.Second)
+	share, unread, mean := served(outcomes)
+	peak, err := flt.processes[0].PeakMemory()
+	require.NoError(t, err)
+	t.Logf("%d idle connections and %d heads; served %.3f of %d %v, %d unread, mean %s, peak of the memory %d MB", idle, heads, share, len(outcomes), statuses(outcomes), unread, mean, peak>>20)
+	require.Less(t, peak, int64(memory))
+	require.GreaterOrEqual(t, share, 0.9)
+}
