Callers' idle connections make room for new ones

What callers saw: 2,050 idle connections and 2,050 heads that drip, at an instance with 4,100 descriptors, kept the connections of others waiting: they were served 1.9 s late in the mean, once the first heads had timed out. Nothing was left meanwhile for connections to servers.

Cause: the number of callers' connections was bounded by the descriptors alone.

Change: callers' connections take at most three quarters of the process's limit. At the bound, those that have waited longest for a request, or for the rest of a head for over a second, are closed, a sixteenth at a time. One with unread bytes, with a request that is served, or one that was just served stays. Where the limit isn't known, nothing changes. Metrics callers-connections and callers-closed-for-room.

--- a/io/accept/accept.go
+++ b/io/accept/accept.go
@@ -64,6 +64,12 @@
 	conns map[*Conn]struct{}
 	// draining is set once no more connections are accepted.
 	draining bool
+	// most bounds the open connections; 0 means no bound. closed counts those that were
+	// closed for it.
+	most   int
+	closed int64
+	// searchedAt is when a search last found too few of them.
+	searchedAt time.Time
 }
 
 // New wraps a TCP listener. onLost is called with the address of each caller
@@ -98,6 +104,7 @@
 			_ = raw.Close()
 			return nil, err
 		}
+		lis.makeRoom()
 		if lis.add(con) {
 			return con, nil
 		}
@@ -120,7 +127,7 @@
 func (lis *Listener) add(con *Conn) bool {
 	lis.mu.Lock()
 	defer lis.mu.Unlock()
-	if lis.draining {
+	if lis.draining || lis.most > 0 && len(lis.conns) >= lis.most {
 		return false
 	}
 	lis.conns[con] = struct{}{}
--- a/io/accept/accept_test.go
+++ b/io/accept/accept_test.go
@@ -35,12 +35,19 @@
 }
 
 func newTestServer(t *testing.T, lim accept.Limits, opts ...func(*http.Server)) *testServer {
+	t.Helper()
+	return newLimitedServer(t, lim, 0, opts...)
+}
+
+// newLimitedServer returns a server with at most a number of connections.
+func newLimitedServer(t *testing.T, lim accept.Limits, most int, opts ...func(*http.Server)) *testServer {
 	t.Helper()
 	raw, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	tsv := &testServer{grp: group.New(context.Background()), ran: map[string]bool{}}
 	tsv.stalls = stall.New(raw)
 	tsv.lis = accept.New(tsv.stalls, clock.System{}, func() accept.Limits { return lim }, func(net.Addr) { tsv.lost.Add(1) })
+	tsv.lis.LimitConns(most)
 	tsv.srv = &http.Server{Handler: http.HandlerFunc(tsv.run), ReadHeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute}
 	for _, opt := range opts {
 		opt(tsv.srv)
@@ -226,3 +233,35 @@
 	require.Equal(t, 1, tsv.lis.Drain(ctx))
 	require.NoError(t, grp.Wait())
 }
+
+// Connections without a request, and heads that don't end, must not keep new connections out.
+// Those whose request is served stay.
+func TestIdleConnectionsMakeRoom(t *testing.T) {
+	t.Parallel()
+	const most = 8
+	tsv := newLimitedServer(t, accept.Limits{}, most)
+	busy := tsv.dial(t)
+	served := make(chan bool, 1)
+	tsv.grp.Go(func(context.Context) error {
+		served <- busy.request("busy", "3s")
+		return nil
+	})
+	require.Eventually(t, func() bool { return tsv.didRun("busy") }, 5*time.Second, time.Millisecond)
+	for num := range most {
+		cal := tsv.dial(t)
+		if num%2 == 0 {
+			_, err := io.WriteString(cal.con, "GET / HTTP/1.1\r\nA: ")
+			require.NoError(t, err)
+		}
+	}
+	time.Sleep(1500 * time.Millisecond)
+	for num := range most {
+		require.True(t, tsv.dial(t).request(strconv.Itoa(num), ""), "connection %d", num)
+		// A connection that has served a request just now isn't idle.
+		time.Sleep(100 * time.Millisecond)
+	}
+	require.True(t, <-served)
+	require.LessOrEqual(t, tsv.lis.OpenConns(), most)
+	require.Positive(t, tsv.lis.ClosedForRoom())
+	require.Zero(t, tsv.lost.Load())
+}
--- a/io/accept/conn.go
+++ b/io/accept/conn.go
@@ -58,6 +58,8 @@
 	state connState
 	// waitingSince is when stateWaiting began.
 	waitingSince time.Time
+	// headSince is when the first bytes of the last request were read.
+	headSince time.Time
 	// served is set once a request was answered.
 	served bool
 	// handling is set while a handler runs, in stateActive.
@@ -175,7 +177,7 @@
 		case err != nil:
 			return 0, err
 		case num > 0:
-			con.state = stateActive
+			con.state, con.headSince = stateActive, con.lis.clk.Now()
 		}
 		return num, nil
 	}
@@ -260,6 +262,38 @@
 	con.written.Store(false)
 }
 
+// idleSince returns since when the connection has waited for a request, or for the rest of its
+// head, and false while a request is served.
+func (con *Conn) idleSince() (time.Time, bool) {
+	con.mu.Lock()
+	defer con.mu.Unlock()
+	switch {
+	case con.state == stateWaiting:
+		return con.waitingSince, true
+	case con.state == stateActive && !con.handling:
+		return con.headSince, true
+	}
+	return time.Time{}, false
+}
+
+// closeIfIdle closes the connection if it waits for a request, or for the rest of a head that
+// began a while ago, and its socket has no unread bytes. It reports whether it did.
+func (con *Conn) closeIfIdle() bool {
+	if con.closeIfWaiting(true) {
+		return true
+	}
+	con.mu.Lock()
+	slow := con.state == stateActive && !con.handling && con.lis.clk.Now().Sub(con.headSince) > slowHead && !con.hasUnread()
+	if slow {
+		con.state = stateEnded
+	}
+	con.mu.Unlock()
+	if slow {
+		_ = con.Close()
+	}
+	return slow
+}
+
 // closeIfWaiting closes the connection if it has waited for at least minIdle and
 // its socket has no unread bytes, and reports whether it did. A connection that
 // has served no request is closed only if unused is set.
--- a/io/edge/gauges.go
+++ b/io/edge/gauges.go
@@ -94,6 +94,8 @@
 	nod.gau.Read("requests-active", func() any { return nod.srv.Active() })
 	nod.gau.Read("lateness-ms", func() any { late, _ := nod.ctl.throttle.State(); return late.Milliseconds() })
 	nod.gau.Read("connections-per-second-limit", func() any { _, rate := nod.ctl.throttle.State(); return rate })
+	nod.gau.Read("callers-connections", func() any { return nod.callerConns.OpenConns() })
+	nod.gau.Read("callers-closed-for-room", func() any { return nod.callerConns.ClosedForRoom() })
 	nod.gau.Read("connections-made", func() any { return nod.poo.Opened() })
 	nod.gau.Read("services-lost", func() any { return nod.poo.LostServices() })
 	nod.gau.Read("responses-over-bound", func() any { return nod.poo.OverBound() })
--- a/io/edge/node.go
+++ b/io/edge/node.go
@@ -159,6 +159,7 @@
 // received.
 func (nod *Node) buildServers() {
 	nod.callerConns = accept.New(nod.callerLis, nod.dep.Clock, nod.connLimits, nod.logClosedConn)
+	nod.callerConns.LimitConns(accept.MaxConns())
 	callers := khttp.NewServer(khttp.Listener(nod.callerConns), khttp.Timeout(0), endpoint(nod.set.CallerAddr))
 	callers.Handler = nod.srv
 	callers.IdleTimeout = idleTimeout
--- a/io/serve/serve.go
+++ b/io/serve/serve.go
@@ -168,6 +168,7 @@
 
 func (nod *Node) build() {
 	nod.callerConns = accept.New(nod.callers, nod.clk, nod.callerLimits, nod.logAborted)
+	nod.callerConns.LimitConns(accept.MaxConns())
 	callers := khttp.NewServer(khttp.Listener(nod.callerConns), khttp.Timeout(0))
 	setLimits(callers.Server, nod.set.CallerLimits())
 	// The callers' handler replaces the router of Kratos, which would answer
