Bytes that aren't UTF-8 end no link between instances

What callers saw: a request whose ID, prompt parts, piece key or resumed stream isn't UTF-8 ended the link between its instance and the coordinator, and with it the placement of all others on it; any such field, or target, of a relayed request failed it.

Cause: fields of callers and servers stand in strings of the messages, which must be UTF-8; a message with another can't be encoded. The class: input is checked where it is used, not where it comes in.

What is only forwarded passes a relay as bytes, which are the same on the wire as the strings were; the text of a relay's failure is made valid.

That a link ends is read, not played.

--- a/io/mesh/relay.go
+++ b/io/mesh/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -147,7 +148,7 @@
 // Relay serves a request of another instance.
 func (svc *service) Relay(req *wire.RelayRequest, stm wire.Mesh_RelayServer) error {
 	cal := RelayCall{
-		Server: req.GetServer(), Address: req.GetAddress(), Service: req.GetService(), Method: req.GetMethod(), Target: req.GetTarget(), Host: req.GetHost(),
+		Server: req.GetServer(), Address: req.GetAddress(), Service: req.GetService(), Method: req.GetMethod(), Target: string(req.GetTarget()), Host: string(req.GetHost()),
 		Body: req.GetBody(), ID: req.GetId(), Release: req.GetRelease(), Fields: toFields(req.GetFields()),
 	}
 	err := error(&RelayError{Cause: RelayBusy, Text: "this instance relays nothing"})
@@ -158,13 +159,13 @@
 	if !errors.As(err, &rer) {
 		return err
 	}
-	return stm.Send(&wire.RelayPart{Part: &wire.RelayPart_Failure{Failure: &wire.RelayFailure{Sent: rer.Sent, Cause: uint32(rer.Cause), Text: rer.Text, Left: rer.Remaining.Microseconds()}}})
+	return stm.Send(&wire.RelayPart{Part: &wire.RelayPart_Failure{Failure: &wire.RelayFailure{Sent: rer.Sent, Cause: uint32(rer.Cause), Text: strings.ToValidUTF8(rer.Text, "?"), Left: rer.Remaining.Microseconds()}}})
 }
 
 func toFields(list []*wire.Field) []call.Field {
 	out := make([]call.Field, 0, len(list))
 	for _, fie := range list {
-		out = append(out, call.Field{Name: fie.GetName(), Value: fie.GetValue()})
+		out = append(out, call.Field{Name: fie.GetName(), Value: string(fie.GetValue())})
 	}
 	return out
 }
@@ -176,7 +177,7 @@
 	head := &wire.RelayHead{Status: int32(status), Length: length, Framing: uint32(framing)} //nolint:gosec // A status has three digits.
 	for name, vals := range hdr {
 		for _, val := range vals {
-			head.Fields = append(head.Fields, &wire.Field{Name: name, Value: val})
+			head.Fields = append(head.Fields, &wire.Field{Name: name, Value: []byte(val)})
 		}
 	}
 	return rwr.stm.Send(&wire.RelayPart{Part: &wire.RelayPart_Head{Head: head}})
@@ -211,9 +212,9 @@
 	if err != nil {
 		return nil, &RelayError{Relay: address, Cause: RelayBusy, Text: err.Error()}
 	}
-	req := &wire.RelayRequest{Server: cal.Server, Address: cal.Address, Service: cal.Service, Method: cal.Method, Target: cal.Target, Host: cal.Host, Body: cal.Body, Id: cal.ID, Release: cal.Release}
+	req := &wire.RelayRequest{Server: cal.Server, Address: cal.Address, Service: cal.Service, Method: cal.Method, Target: []byte(cal.Target), Host: []byte(cal.Host), Body: cal.Body, Id: cal.ID, Release: cal.Release}
 	for _, fie := range cal.Fields {
-		req.Fields = append(req.Fields, &wire.Field{Name: fie.Name, Value: fie.Value})
+		req.Fields = append(req.Fields, &wire.Field{Name: fie.Name, Value: []byte(fie.Value)})
 	}
 	sctx, cancel := context.WithCancel(ctx)
 	res := &RelayedResponse{relay: address, cancel: cancel}
@@ -321,7 +322,7 @@
 	res.Status, res.Length, res.Header = int(head.GetStatus()), head.GetLength(), http.Header{}
 	res.Framing = call.Framing(min(head.GetFraming(), uint32(call.CloseFraming)))
 	for _, fie := range head.GetFields() {
-		res.Header.Add(fie.GetName(), fie.GetValue())
+		res.Header.Add(fie.GetName(), string(fie.GetValue()))
 	}
 	return nil
 }
--- a/io/mesh/relay_test.go
+++ b/io/mesh/relay_test.go
@@ -60,6 +60,25 @@
 	return New(member.Member{Address: "a"}, newRecordingSink(), clock.System{}, dial, grp), raw.Addr().String(), lis
 }
 
+// Bytes of a caller or a server that aren't UTF-8 must pass a relay unchanged.
+func TestRelayedBytesNeedNotBeUTF8(t *testing.T) {
+	const odd = "/\xff\xe4"
+	tra, address, _ := startRelay(t, func(_ context.Context, cal RelayCall, rsp RelayResponse) error {
+		if cal.Body != nil {
+			return &RelayError{Sent: true, Cause: RelayTooLong, Text: odd}
+		}
+		return rsp.Head(http.StatusOK, http.Header{"X": {cal.Target, cal.Host, cal.Fields[0].Value}}, 0, call.LengthFraming)
+	})
+	got, err := tra.Relay(context.Background(), address, RelayCall{Target: odd, Host: odd, Fields: []call.Field{{Name: "N", Value: odd}}})
+	require.NoError(t, err)
+	require.Equal(t, http.Header{"X": {odd, odd, odd}}, got.Header)
+	got.Close()
+	_, err = tra.Relay(context.Background(), address, RelayCall{Body: []byte("b")})
+	var rer *RelayError
+	require.ErrorAs(t, err, &rer)
+	require.Equal(t, RelayTooLong, rer.Cause)
+}
+
 // A response must arrive unchanged, and only a complete one may end like one.
 func TestRelayedResponse(t *testing.T) {
 	tra, address, _ := startRelay(t, func(_ context.Context, cal RelayCall, rsp RelayResponse) error {
