The control thread doesn't wait for space in its own queue

What callers saw: nothing yet; an instance whose control thread waits forever places, refuses and tells nothing.

Cause: the control thread hears of a server that starts at an address, and tells the pool of connections; if the path to that address was lost, the pool posts that it is back to the control thread's own queue, and waits if its 4,096 places are full.

Change: what the pool says of paths is no message to wait for. With a full queue a flag is set and the next tick looks.

Evidence: TestPathIsBackWhileTheQueueIsFull hangs with the post as it was and passes now. The other posts come from other goroutines, by reading.

--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -90,6 +90,8 @@
 	log    *lines.Writer
 	calls  *stageCaller
 	events chan event
+	// pathsStale is set if a change of a path found the queue full.
+	pathsStale atomic.Bool
 	// large holds a slot for each large message in the queue; ended is closed
 	// when the control thread ends.
 	large chan struct{}
--- a/io/edge/control_test.go
+++ b/io/edge/control_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"net"
 	"strconv"
 	"strings"
 	"testing"
@@ -17,6 +18,7 @@
 	"lovagestream/core/stock"
 	"lovagestream/core/table"
 	"lovagestream/io/clock"
+	"lovagestream/io/conns"
 	"lovagestream/io/follow"
 	"lovagestream/io/gauge"
 	"lovagestream/io/group"
@@ -589,3 +591,39 @@
 	require.Zero(t, ctl.sched.Jobs())
 	require.Len(t, messagesOf[mesh.Adopt](lnk, "a"), 1, "it keeps running on its engine")
 }
+
+// A server starts at an address to which the path was lost, while the queue is full. The
+// control thread, which learns of both, must not wait for itself.
+func TestPathIsBackWhileTheQueueIsFull(t *testing.T) {
+	ctl, _ := newControl(t)
+	grp := group.New(context.Background())
+	t.Cleanup(grp.Stop)
+	poo := conns.NewPool(clock.System{}, grp, nil)
+	poo.DialWith(func(context.Context, string, string) (net.Conn, error) { return nil, errors.New("no path") })
+	poo.RelayWith(&relay{ctl: ctl}, ctl.pathsChanged)
+	ctl.calls.poo = poo
+	for _, adr := range []string{"e", "f", "g"} {
+		_, err := poo.Do(context.Background(), conns.Request{Service: "m", Address: adr, Relayed: true}, "", nil)
+		require.Error(t, err)
+	}
+	require.Eventually(t, func() bool { return len(poo.LostServices()) == 1 }, 5*time.Second, time.Millisecond)
+	for len(ctl.events) < cap(ctl.events) {
+		ctl.events <- evPaths{}
+	}
+	done := make(chan struct{})
+	grp.Go(func(context.Context) error {
+		defer close(done)
+		ctl.calls.serverStarted(stock.Entry{ID: "e", Service: "m", Address: "e"})
+		return nil
+	})
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the control thread waits for space in its own queue")
+	}
+	require.Empty(t, poo.LostServices())
+	require.True(t, ctl.pathsStale.Load())
+	for len(ctl.events) > 0 {
+		<-ctl.events
+	}
+}
--- a/io/edge/duties.go
+++ b/io/edge/duties.go
@@ -28,6 +28,9 @@
 
 func (evt evTick) apply(ctl *Control, now time.Time) {
 	ctl.observeLateness(now, evt)
+	if ctl.pathsStale.Swap(false) {
+		ctl.updatePaths(now)
+	}
 	if ctl.sched.Jobs() > 0 {
 		ctl.sched.Tick(now)
 	}
--- a/io/edge/node.go
+++ b/io/edge/node.go
@@ -147,7 +147,7 @@
 	nod.ctl.causesFound = nod.srv.CancelRefused
 	nod.ctl.accounts.usage = nod.srv.Usage
 	nod.rly = newRelay(nod.ctl, nod.transport, nod.poo, dep.Dialect, dep.Clock, nod.gau)
-	nod.poo.RelayWith(nod.rly, func() { nod.ctl.post(evPaths{}) })
+	nod.poo.RelayWith(nod.rly, nod.ctl.pathsChanged)
 	nod.transport.SetRelayHandler(nod.rly)
 	nod.registerGauges()
 	nod.buildServers()
--- a/io/edge/relay.go
+++ b/io/edge/relay.go
@@ -254,6 +254,16 @@
 
 func (evPaths) apply(ctl *Control, now time.Time) { ctl.updatePaths(now) }
 
+// pathsChanged notes that a path may be lost or back. It may be called by the control thread
+// itself, which must not wait for space in its own queue: the next tick looks then.
+func (ctl *Control) pathsChanged() {
+	select {
+	case ctl.events <- evPaths{}:
+	default:
+		ctl.pathsStale.Store(true)
+	}
+}
+
 // updatePaths logs the services to whose servers the path was lost, or is back for good.
 func (ctl *Control) updatePaths(now time.Time) {
 	if ctl.calls == nil || ctl.calls.poo == nil {
