A limit that a server names in some answers only holds in between

The class: a decision on the latest word alone.

Change: a limit that begins again within 4 s after it ended had not ended; the delay of its end and of higher rates doubles each time, up to 4 s. A server that names a limit in all its answers and then in none is served as before.

--- a/core/rates/rates.go
+++ b/core/rates/rates.go
@@ -50,6 +50,10 @@
 	// reports of a higher rate or of no limit. Answers overtake each other, and
 	// one begun before the limit does not mention it.
 	raiseDelay = 500 * time.Millisecond
+	// A limit that begins again within returnWindow after it ended had not ended: its server
+	// names it in some answers only. Each time, its delay doubles, up to maxRaiseDelay.
+	returnWindow  = 4 * time.Second
+	maxRaiseDelay = 4 * time.Second
 	// minRate, in requests a second, is sent to a server even if its limit is
 	// lower: only an answer can report that the limit has ended.
 	minRate = 0.5
@@ -73,6 +77,8 @@
 	since time.Time
 	// lowestAt is when the rate in force, or a lower one, was last reported.
 	lowestAt time.Time
+	// raiseDelay is how long the lowest reported rate stays in force.
+	raiseDelay time.Duration
 	// pending is the report of a higher rate or of the limit's end, which takes
 	// effect unless a lower rate is reported meanwhile; nil if there is none.
 	pending *Report
@@ -80,9 +86,18 @@
 	bucket *rate.Limiter
 }
 
+// endedLimit is a limit that has ended.
+type endedLimit struct {
+	at         time.Time
+	raiseDelay time.Duration
+}
+
 // Limiter holds the limits in force.
 type Limiter struct {
 	limits map[string]*serverLimit
+	// ended are the limits that have ended, the last one of each server. A new start of the
+	// server drops it.
+	ended map[string]endedLimit
 	// coldLimits are the limits on servers that may be in cold start.
 	coldLimits map[string]*coldLimit
 	// recent counts what servers got lately. A server that starts again under its
@@ -100,7 +115,7 @@
 
 // NewLimiter returns a limiter without limits.
 func NewLimiter() *Limiter {
-	return &Limiter{limits: map[string]*serverLimit{}, coldLimits: map[string]*coldLimit{}, recent: map[string]*recentSends{}, brittle: map[string]*brittleServer{}, fraction: 1, coldFraction: 1}
+	return &Limiter{limits: map[string]*serverLimit{}, ended: map[string]endedLimit{}, coldLimits: map[string]*coldLimit{}, recent: map[string]*recentSends{}, brittle: map[string]*brittleServer{}, fraction: 1, coldFraction: 1}
 }
 
 // SetMembers sets how many of the known entry instances this one considers
@@ -129,7 +144,7 @@
 	case old == nil && (rep.Ended || len(lim.limits) >= maxServers):
 		return Unchanged
 	case old == nil:
-		lim.limits[rep.Server] = lim.newLimit(now, rep.Rate)
+		lim.limits[rep.Server] = lim.newLimit(now, rep.Rate, lim.delayAfter(now, rep.Server))
 		return Began
 	case rep.Ended || rep.Rate > old.rate*(1+rateTolerance):
 		old.pending = &rep
@@ -143,10 +158,20 @@
 	return Changed
 }
 
+// delayAfter returns the raise delay of a limit that begins.
+func (lim *Limiter) delayAfter(now time.Time, server string) time.Duration {
+	old, have := lim.ended[server]
+	delete(lim.ended, server)
+	if !have || now.Sub(old.at) > returnWindow {
+		return raiseDelay
+	}
+	return min(maxRaiseDelay, 2*old.raiseDelay)
+}
+
 // newLimit returns a limit with an empty bucket, since other instances may have
 // spent its tokens.
-func (lim *Limiter) newLimit(now time.Time, perSecond float64) *serverLimit {
-	out := &serverLimit{rate: perSecond, since: now, lowestAt: now}
+func (lim *Limiter) newLimit(now time.Time, perSecond float64, raiseDelay time.Duration) *serverLimit {
+	out := &serverLimit{rate: perSecond, since: now, lowestAt: now, raiseDelay: raiseDelay}
 	burst := lim.burst(out)
 	out.bucket = rate.NewLimiter(rate.Limit(lim.ownRate(out)), burst)
 	out.bucket.AllowN(now, burst)
@@ -166,13 +191,14 @@
 
 // applyReport applies a server's pending report if raiseDelay is over.
 func (lim *Limiter) applyReport(now time.Time, sli *serverLimit) Change {
-	if sli.pending == nil || now.Sub(sli.lowestAt) < raiseDelay {
+	if sli.pending == nil || now.Sub(sli.lowestAt) < sli.raiseDelay {
 		return Unchanged
 	}
 	rep := *sli.pending
 	sli.pending = nil
 	if rep.Ended {
 		delete(lim.limits, rep.Server)
+		lim.ended[rep.Server] = endedLimit{at: now, raiseDelay: sli.raiseDelay}
 		return Ended
 	}
 	lim.setRate(now, sli, rep.Rate)
@@ -201,6 +227,11 @@
 			delete(lim.limits, id)
 		}
 	}
+	for id := range lim.ended {
+		if gone(id) {
+			delete(lim.ended, id)
+		}
+	}
 	for id := range lim.coldLimits {
 		if gone(id) {
 			delete(lim.coldLimits, id)
@@ -221,7 +252,10 @@
 // Restarted drops the limit that an earlier start of a server reported. The limit
 // of a cold start holds on, and so does what is known of a brittle server, which may be
 // back from a fall.
-func (lim *Limiter) Restarted(server string) { delete(lim.limits, server) }
+func (lim *Limiter) Restarted(server string) {
+	delete(lim.limits, server)
+	delete(lim.ended, server)
+}
 
 // ownRate returns this instance's part of a limit, in requests a second.
 func (lim *Limiter) ownRate(sli *serverLimit) float64 { return max(minRate, sli.rate*lim.fraction) }
--- a/core/rates/rates_test.go
+++ b/core/rates/rates_test.go
@@ -131,3 +131,50 @@
 	lim.Forget(func(string) bool { return true })
 	require.Zero(t, lim.Len())
 }
+
+// A server names a rate in some answers only. The limit must not end between two of them,
+// each time with all requests that wait for it.
+func TestLimitNamedNowAndThenHolds(t *testing.T) {
+	for _, values := range [][]float64{{2, -1, 8}, {8, -1}, {-1, -1, 3}, {5, -1, -1, -1}} {
+		lim := NewLimiter()
+		highest, answers, waiting := 0.0, 0, 10.0
+		for _, val := range values {
+			highest = max(highest, val)
+		}
+		var sent []time.Time
+		for at := start; at.Before(start.Add(30 * time.Second)); at = at.Add(5 * time.Millisecond) {
+			waiting = min(20, waiting+40*0.005)
+			num := 0
+			for ; waiting >= 1 && lim.Allowed(at, "s"); waiting-- {
+				lim.Take(at, "s")
+				num++
+				// The first seconds show the server what its answers do.
+				if at.Sub(start) > 6*time.Second {
+					sent = append(sent, at)
+				}
+			}
+			for range num {
+				val := values[answers%len(values)]
+				answers++
+				lim.Observe(at.Add(2*time.Millisecond), Report{Server: "s", Rate: max(0, val), Ended: val < 0})
+			}
+			lim.ApplyPending(at.Add(2 * time.Millisecond))
+		}
+		require.LessOrEqual(t, float64(maxInWindow(sent)), burstFactor*highest*window.Seconds()+burstExtra, "%v", values)
+		require.NotEmpty(t, sent)
+	}
+}
+
+// A limit that returned must end for good once the server doesn't name it any more.
+func TestReturnedLimitEnds(t *testing.T) {
+	lim, at := NewLimiter(), start
+	for range 10 {
+		require.Equal(t, Began, lim.Observe(at, Report{Server: "s", Rate: 2}))
+		at = at.Add(maxRaiseDelay)
+		require.Equal(t, Ended, lim.Observe(at, Report{Server: "s", Ended: true}))
+		at = at.Add(time.Second)
+	}
+	at = at.Add(returnWindow)
+	lim.Observe(at, Report{Server: "s", Rate: 2})
+	require.Equal(t, Ended, lim.Observe(at.Add(raiseDelay), Report{Server: "s", Ended: true}), "its delay is the usual one")
+}
