OPTIONS * is a request like any other

What callers saw: "OPTIONS *" at lovagestream edge got 200 without a server's signature, from net/http itself. No success may come without one.

Change: DisableGeneralOptionsHandler. The request has no path to route by, and is malformed (400).

The own protocol, whose successes aren't signed, keeps 200.

--- a/io/edge/node.go
+++ b/io/edge/node.go
@@ -165,6 +165,8 @@
 	callers.IdleTimeout = idleTimeout
 	callers.ReadHeaderTimeout = headerTimeout
 	callers.MaxHeaderBytes = maxHeaderBytes
+	// "OPTIONS *" is a request like any other; net/http would answer it itself.
+	callers.DisableGeneralOptionsHandler = true
 	nod.callerConns.Attach(callers.Server)
 	ready := khttp.NewServer(khttp.Listener(nod.readyLis), khttp.Timeout(0), endpoint(nod.set.ReadyAddr))
 	ready.Handler = http.HandlerFunc(nod.serveReadiness)
