The port of a host selects no route

What callers saw: 404 for a request whose Host field has a port, as clients send that don't reach the instance at port 80.

Change: a host that no route has is looked up without its port. What is forwarded stays as it came.

--- a/core/table/table.go
+++ b/core/table/table.go
@@ -242,7 +242,12 @@
 // nil. The path is compared as sent, not decoded, since servers get the same
 // bytes.
 func (tab *Table) Match(host, path string) *Route {
-	for _, rou := range tab.routes[strings.ToLower(host)] {
+	host = strings.ToLower(host)
+	list, named := tab.routes[host]
+	if !named {
+		list = tab.routes[withoutPort(host)]
+	}
+	for _, rou := range list {
 		if strings.HasPrefix(path, rou.Prefix) {
 			return rou
 		}
@@ -250,6 +255,15 @@
 	return nil
 }
 
+// withoutPort returns a host without its port.
+func withoutPort(host string) string {
+	name, port, found := strings.Cut(host, ":")
+	if !found || strings.Trim(port, "0123456789") != "" {
+		return host
+	}
+	return name
+}
+
 // Account returns the account of a credential, or nil. The second result is
 // false if the route requires an account and the credential is unknown.
 // Anonymous routes accept unknown credentials without an account.
