Pieces whose stages before them were left out are asked for with no inputs

What callors saw: a request with no piece for one stage (0 in its list) and some for the one that follows may have failed with stage-unreachable: its pieces were asked for with neither key nor inputs, where a server may want one of them.

Cause: an empty list was left out of the call as a missing one is.

Change: inputs are left out where there is a key, and empty where there are none.

Evidence: script mixed-pieces-without-inputs, with a stage server that answers 400 to a piece with neither or both: 503 before, served now.

--- a/core/sched/job.go
+++ b/core/sched/job.go
@@ -209,9 +209,10 @@
 	return true
 }
 
-// inputs lists the handles of all results that the stage depends on.
+// inputs lists the handles of all results that the stage depends on. It is empty and not nil
+// if it depends on stages without pieces only.
 func (stg *stage) inputs() []string {
-	var out []string
+	out := []string{}
 	for _, dep := range stg.deps {
 		for _, pie := range dep.pieces {
 			out = append(out, pie.handle)
