The soak draws answers without end

Servers of each kind may send a line, a status line, a field, fields, an interim response, a body, an event or the body of a rejection or a server error without end, or byte by byte.

--- a/stand/field/servers.go
+++ b/stand/field/servers.go
@@ -153,7 +153,8 @@
 }
 
 // misbehaviors are the fake server's modes of faulty responses.
-var misbehaviors = []string{"shed", "error", "busy", "cut", "garble", "foreign", "short", "hang", "slow", "break", "stall", "break-again", "unframed", "unframed-reset", "unframed-empty", `unframed=id:_3\nda`, `unframed=id:_3\ndata:_x\n`}
+var misbehaviors = []string{"shed", "error", "busy", "cut", "garble", "foreign", "short", "hang", "slow", "break", "stall", "break-again", "unframed", "unframed-reset", "unframed-empty", `unframed=id:_3\nda`, `unframed=id:_3\ndata:_x\n`,
+	"endless-line", "endless-status", "endless-field", "endless-fields", "endless-interim", "endless-body", "endless-event", "endless-shed", "endless-error", "drip-field", "drip-interim", "drip-body", "drip-shed", "drip-error", "drip-stranger"}
 
 // limitValues are the rate limits that a server announces, in turn; some are
 // empty or invalid.
