--- a/io/entry/generate.go
+++ b/io/entry/generate.go
@@ -20,8 +20,6 @@
 	"lovagestream/io/trace"
 )
 
-func itoa(num int) string { return strconv.Itoa(num) }
-
 // serveGenerate serves a request of a model service: its stages run first, then
 // its answer comes from an engine.
 func (arq *activeRequest) serveGenerate(ctx context.Context) {
