--- a/review/again/cutpath.go
+++ b/review/again/cutpath.go
@@ -54,9 +54,9 @@
 			if ans.Complete || ans.LastEvent() == 0 {
 				return nil
 			}
-			// A client tries again after half a second.
+			// A client tries again after half a second, once.
 			wld.Sleep(500 * time.Millisecond)
-			ok := wld.takeUpOne(others, taking{client: num, last: ans.LastEvent()}, name, deadline)
+			ok, _ := wld.takeUpOne(others[num%len(others)], taking{client: num, last: ans.LastEvent()}, name, deadline)
 			mu.Lock()
 			defer mu.Unlock()
 			taken++
--- a/review/again/engine.go
+++ b/review/again/engine.go
@@ -53,6 +53,8 @@
 	places   chan struct{}
 	queue    chan struct{}
 	sequence int
+	// born is the start of the engine's process.
+	born time.Time
 
 	mu sync.Mutex
 	// runs are the requests that it began.
@@ -61,25 +63,30 @@
 
 // NewEngine starts an engine. It isn't listed yet.
 func (wld *World) NewEngine(id, service, zone string, slots int) (*Engine, error) {
-	lis, err := net.Listen("tcp", net.JoinHostPort(wld.IP(100), "0"))
+	eng := &Engine{wld: wld, id: id, service: service, zone: zone, version: "v1", slots: slots, address: net.JoinHostPort(wld.IP(100), "0"), grp: group.New(context.Background()), places: make(chan struct{}, slots), queue: make(chan struct{}, 2*slots)}
+	return eng, eng.start()
+}
+
+// start starts the engine's process: at a free port, or again at its address.
+func (eng *Engine) start() error {
+	lis, err := net.Listen("tcp", eng.address)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	grp := group.New(context.Background())
-	eng := &Engine{wld: wld, id: id, service: service, zone: zone, version: "v1", slots: slots, path: newPath(lis, grp), address: lis.Addr().String(), grp: grp, places: make(chan struct{}, slots), queue: make(chan struct{}, 2*slots)}
-	eng.srv = &http.Server{Handler: eng}
+	srv := &http.Server{Handler: eng}
+	eng.path, eng.address, eng.srv, eng.born, eng.sequence = newPath(lis, eng.grp), lis.Addr().String(), srv, clk.Now(), 0
 	eng.grp.Go(func(context.Context) error {
-		_ = eng.srv.Serve(eng.path)
+		_ = srv.Serve(eng.path)
 		return nil
 	})
-	return eng, nil
+	return nil
 }
 
 // List writes the engine's entry.
 func (eng *Engine) List(state string) {
 	eng.sequence++
 	eng.wld.Publish("servers/"+eng.id, map[string]any{
-		"service": eng.service, "address": eng.address, "zone": eng.zone, "version": eng.version, "slots": eng.slots, "state": state, "coldRemainingMs": 0, "sequence": eng.sequence,
+		"service": eng.service, "address": eng.address, "zone": eng.zone, "version": eng.version, "slots": eng.slots, "state": state, "coldRemainingMs": 0, "sequence": eng.sequence, "born": eng.born.UnixMilli(),
 	})
 }
 
--- a/review/again/takeup.go
+++ b/review/again/takeup.go
@@ -88,7 +88,7 @@
 	grp := group.New(context.Background())
 	for _, tak := range taken {
 		grp.Go(func(context.Context) error {
-			if wld.takeUpOne(list, tak, name, deadline) {
+			if ok, _ := wld.takeUpOne(list[(tak.client+1)%len(list)], tak, name, deadline); ok {
 				mu.Lock()
 				defer mu.Unlock()
 				goesOn++
@@ -113,24 +113,14 @@
 // taking is a stream that its client takes up after an event.
 type taking struct{ client, last int }
 
-// takeUpOne plays a client that takes its stream up: up to three times, and again after a refusal
-// no sooner than it was told to. It reports whether the stream went on.
-func (wld *World) takeUpOne(list []*Instance, tak taking, name string, deadline time.Time) bool {
+// takeUpOne plays a client that takes its stream up, with the one retry that the sheets give it.
+// It reports whether the stream went on, and returns the answer.
+func (wld *World) takeUpOne(ins *Instance, tak taking, name string, deadline time.Time) (bool, Answer) {
 	first := fmt.Sprintf("5e01%012x", tak.client+1)
-	for try := range 3 {
-		left := int(deadline.Sub(clk.Now()).Milliseconds())
-		if left < 100 {
-			return false
-		}
-		req := stream(fmt.Sprintf("7a%02d%012x", try, tak.client+1), first, name, left)
-		req.Fields["Resumes"], req.Fields[hdrLast] = first, strconv.Itoa(tak.last)
-		ans := wld.Send(context.Background(), list[(tak.client+1+try)%len(list)], req)
-		if ans.Status == 200 {
-			return strings.HasPrefix(ans.Body, fmt.Sprintf("id: %d\n", tak.last+1))
-		}
-		wld.Sleep(ans.RetryAfter)
-	}
-	return false
+	req := stream(fmt.Sprintf("7a00%012x", tak.client+1), first, name, int(deadline.Sub(clk.Now()).Milliseconds()))
+	req.Fields["Resumes"], req.Fields[hdrLast] = first, strconv.Itoa(tak.last)
+	ans := wld.Send(context.Background(), ins, req)
+	return ans.Status == 200 && strings.HasPrefix(ans.Body, fmt.Sprintf("id: %d\n", tak.last+1)), ans
 }
 
 // sendAll sends requests to the instances in turn, calls fun meanwhile, and returns the answers.
--- a/review/again/versions.go
+++ b/review/again/versions.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -49,9 +48,19 @@
 	var mu sync.Mutex
 	mixed := 0
 	grp := group.New(context.Background())
+	deadline := clk.Now().Add(millis(limit))
+	cut, leave := context.WithCancel(context.Background())
+	defer leave()
 	for num := range streams {
 		grp.Go(func(context.Context) error {
-			if got := wld.follow(list, num, name, limit); len(got) > 1 {
+			ans := wld.Send(cut, list[num%len(list)], stream(fmt.Sprintf("5e01%012x", num+1), fmt.Sprintf("5e01%012x", num+1), name, limit))
+			if ans.Complete || ans.LastEvent() == 0 {
+				return nil
+			}
+			// The client is without a network until a second before its deadline.
+			wld.Sleep(deadline.Sub(clk.Now()) - millis(1000))
+			_, more := wld.takeUpOne(list[(num+1)%len(list)], taking{client: num, last: ans.LastEvent()}, name, deadline)
+			if got := versionsOf(ans.Body, more.Body); len(got) > 1 {
 				mu.Lock()
 				defer mu.Unlock()
 				mixed++
@@ -67,6 +76,13 @@
 		wld.publishConfig(4, slots, next)
 		wld.Note("the operator shortens the timeout of the route")
 	}
+	// All clients lose their connections in a moment, and come back once.
+	grp.Go(func(context.Context) error {
+		wld.Sleep(700 * time.Millisecond)
+		wld.Note("all clients lose their connections")
+		leave()
+		return nil
+	})
 	// The release: the new engine starts first, the old one drains and exits after drainMs and
 	// a little longer; its entry is removed then.
 	for num := range engines {
@@ -91,38 +107,13 @@
 	return held, nil
 }
 
-// follow plays a client of one stream: it takes the stream up after a broken connection, at the
-// next machine, a few times within its deadline and never sooner than it was told to. It returns
-// the versions of the engines that made its events.
-func (wld *World) follow(list []*Instance, num int, name string, limit int) []string {
-	begun := clk.Now()
-	first := fmt.Sprintf("5e01%012x", num+1)
+// versionsOf returns the versions of the engines that made the events of a stream.
+func versionsOf(bodies ...string) []string {
 	var seen []string
-	last := 0
-	pauses := []time.Duration{0, time.Second, 1400 * time.Millisecond, 1800 * time.Millisecond}
-	for try := 0; ; try++ {
-		id := first
-		if try > 0 {
-			id = fmt.Sprintf("7a%02d%012x", try, num+1)
-		}
-		left := limit - int(clk.Now().Sub(begun).Milliseconds())
-		if left < 100 {
-			return seen
-		}
-		req := stream(id, first, name, left)
-		if last > 0 {
-			req.Fields["Resumes"], req.Fields[hdrLast] = first, strconv.Itoa(last)
-		}
-		ans := wld.Send(context.Background(), list[(num+try)%len(list)], req)
-		last = max(last, ans.LastEvent())
-		for _, line := range strings.Split(ans.Body, "\n") {
-			if _, version, ok := strings.Cut(line, " by "); ok && !slices.Contains(seen, version) {
-				seen = append(seen, version)
-			}
-		}
-		if ans.Complete && ans.Status == 200 || try == len(pauses) {
-			return seen
+	for _, line := range strings.Split(strings.Join(bodies, "\n"), "\n") {
+		if _, version, ok := strings.Cut(line, " by "); ok && !slices.Contains(seen, version) {
+			seen = append(seen, version)
 		}
-		wld.Sleep(max(pauses[try], ans.RetryAfter))
 	}
+	return seen
 }
