Review case 8: no stream of a killed instance goes on once a release begins

Cause: an instance that sees one software version keeps the records of its streams to itself. If it is killed and the first engine of another version is listed before the clients come back, nobody has the records and nobody may infer the version, though whoever saw the second version come knows that the streams began at the first. Nothing is fixed here.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,4 +3,4 @@
 # held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/lovagestream ] && [ -x target/again ] || { echo "build first: deploy/system.toml, review/build-2.sh" >&2; exit 2; }
-exec target/again cut-watch review/8/record.txt
+exec target/again late-release review/8/record.txt
--- a/review/again/main.go
+++ b/review/again/main.go
@@ -19,6 +19,7 @@
 // scripts are the scripts by name.
 var scripts = map[string]func(*World) (verdict, error){
 	"stop-waiting": stopWaiting,
+	"late-release": lateRelease,
 	"in-place":     inPlace,
 	"cut-path":     cutPath,
 	"versions":     versions,
