The end of a server is taken back where others reach it

Cause: the instance without a path takes each server for ended and says so. The report is kept twice, as a crash and as the end of a start. Answers clear the crash; nothing cleared the end but later entries. An answer alone can't: a server that starts again in place answers too, with other software.

Change: two instances of each zone try to reach a server whose end a peer reports. One that does within 100 ms says so in Answered.running, and all take back the end and the crash; older builds read the same message as before. A report that comes after it, of an earlier time, is ignored.

--- a/core/resume/ends.go
+++ b/core/resume/ends.go
@@ -21,6 +21,9 @@
 // so. The zero value is empty.
 type Ends struct {
 	ends map[string]end
+	// running is when starts were last seen to run that were said to have ended. It has at
+	// most maxEnds entries.
+	running map[string]time.Time
 }
 
 // end is the end of a start.
@@ -30,22 +33,42 @@
 	sequence int64
 }
 
-// Add adds a start of which the last entry is known. It reports whether it is new.
-func (ens *Ends) Add(now time.Time, last stock.Entry) bool {
+// Add adds a start that is said to have ended at a time, and of which the last entry is
+// known. It reports whether it is new.
+func (ens *Ends) Add(now, at time.Time, last stock.Entry) bool {
 	if ens.ends == nil {
-		ens.ends = map[string]end{}
+		ens.ends, ens.running = map[string]end{}, map[string]time.Time{}
 	}
 	start := last.Start()
-	if _, have := ens.ends[start]; have || len(ens.ends) >= maxEnds {
+	if _, have := ens.ends[start]; have || len(ens.ends) >= maxEnds || ens.running[start].After(at) {
 		return false
 	}
 	ens.ends[start] = end{until: now.Add(endTime), sequence: last.Sequence}
 	return true
 }
 
+// Running takes the end of a start back, which was seen to run at a time. Reports of its end
+// before that are ignored. It reports whether the end was known.
+func (ens *Ends) Running(at time.Time, start string) bool {
+	_, have := ens.ends[start]
+	delete(ens.ends, start)
+	if ens.running == nil {
+		ens.ends, ens.running = map[string]end{}, map[string]time.Time{}
+	}
+	if _, known := ens.running[start]; known || len(ens.running) < maxEnds {
+		ens.running[start] = at
+	}
+	return have
+}
+
 // Observe forgets starts that ended long ago, and those that have not ended: they go on
 // writing entries. It reports whether there were any.
 func (ens *Ends) Observe(now time.Time, live []stock.Entry) bool {
+	for start, at := range ens.running {
+		if now.Sub(at) > endTime {
+			delete(ens.running, start)
+		}
+	}
 	before := len(ens.ends)
 	if before == 0 {
 		return false
--- a/core/resume/keepers.go
+++ b/core/resume/keepers.go
@@ -37,6 +37,13 @@
 	return firstOf(byZone, zonesFor(id, zone, byZone, otherZones+1), askedPerZone)
 }
 
+// Checks reports whether an instance is one of those that check the report of a server's
+// end: two of each zone, so that one without a path doesn't decide.
+func Checks(start string, self member.Member, others []member.Member) bool {
+	byZone := rankedByZone(start, append([]member.Member{self}, others...))
+	return slices.Contains(firstOf(byZone, []string{self.Zone}, askedPerZone), self.Address)
+}
+
 // rankedByZone orders the members of each zone by rendezvous hash.
 func rankedByZone(id string, members []member.Member) map[string][]string {
 	byZone := map[string][]string{}
--- a/io/conns/path.go
+++ b/io/conns/path.go
@@ -244,6 +244,24 @@
 	return true
 }
 
+// Reach calls fun, in the background, if a new connection to the server at an address stays
+// open.
+func (poo *Pool) Reach(service, address string, fun func()) {
+	poo.grp.Go(func(ctx context.Context) error {
+		con, err := poo.openConn(ctx, Request{Service: service, Address: address}, shortDialTimeout)
+		if err != nil {
+			return nil
+		}
+		if poo.clk.Sleep(ctx, endCheckInterval) != nil || !con.usable() {
+			poo.discard(con)
+			return nil
+		}
+		poo.putIdle(con, 0)
+		fun()
+		return nil
+	})
+}
+
 // CheckEnded calls fun with what Ended returns, in the background. All connections of a server
 // that ends are closed at the same time, so those who ask during a check share its result.
 func (poo *Pool) CheckEnded(service, address string, fun func(ended bool)) {
--- a/io/edge/crashes.go
+++ b/io/edge/crashes.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lovagestream/core/marks"
+	"lovagestream/core/resume"
 	"lovagestream/core/sched"
 	"lovagestream/core/stock"
 	"lovagestream/io/entry"
@@ -22,19 +23,22 @@
 }
 
 func (evt evCrash) apply(ctl *Control, now time.Time) {
-	ctl.addCrashes(now, evt.msg)
+	if ctl.addCrashes(now, evt.msg) && !evt.local {
+		ctl.checkEnd(now, evt.msg)
+	}
 	if evt.local {
 		ctl.log.Log("server-lost-with-request", lines.Fields{"server": evt.msg.Server, "print": evt.msg.Request, "parts": evt.msg.Names, "ended": evt.msg.Ended})
 	}
 	ctl.spread(now, evt.from, evt.msg)
 }
 
-// addCrashes adds crashes to the evidence.
-func (ctl *Control) addCrashes(now time.Time, list ...mesh.Crash) {
+// addCrashes adds crashes to the evidence. It reports whether one is the end of a start that
+// wasn't known to have ended.
+func (ctl *Control) addCrashes(now time.Time, list ...mesh.Crash) (ended bool) {
 	var reports []marks.Report
 	for _, msg := range list {
-		if msg.Ended {
-			ctl.addEnd(now, msg.Server)
+		if msg.Ended && ctl.addEnd(now, msg.At, msg.Server) {
+			ended = true
 		}
 		crs := marks.NewCrash(msg.Server, msg.At)
 		if msg.Ended {
@@ -47,7 +51,7 @@
 		reports = append(reports, marks.Report{Request: req, Crash: crs})
 	}
 	if ctl.marks.Knows(reports) {
-		return
+		return ended
 	}
 	for _, msg := range list {
 		for i, name := range msg.Names[:min(len(msg.Names), len(msg.Parts))] {
@@ -58,15 +62,71 @@
 	ctl.rememberCrashed(now)
 	ctl.marksChanged(now)
 	ctl.refuseWaiting(now)
+	return ended
+}
+
+// addEnd adds a start that is said to have ended at a time, if its server's entries name no
+// later one. It reports whether the end is new.
+func (ctl *Control) addEnd(now, at time.Time, start string) bool {
+	ent, have := ctl.liveStart(start)
+	if !have || !ctl.streams.ends.Add(now, at, ent) {
+		return false
+	}
+	ctl.viewStale = true
+	return true
 }
 
-// addEnd adds a start that has ended, if its server's entries name no later one.
-func (ctl *Control) addEnd(now time.Time, start string) {
+// liveStart returns the entry of a server's start.
+func (ctl *Control) liveStart(start string) (stock.Entry, bool) {
 	for _, ent := range ctl.live {
-		if ent.Start() == start && ctl.streams.ends.Add(now, ent) {
-			ctl.viewStale = true
+		if ent.Start() == start {
+			return ent, true
 		}
 	}
+	return stock.Entry{}, false
+}
+
+// maxCheckDelay is how soon after the report of a server's end it must be reached to show that
+// it goes on. Later, it may have started again.
+const maxCheckDelay = 100 * time.Millisecond
+
+// checkEnd tries to reach a server whose end a peer has reported: the peer may have lost its
+// path.
+func (ctl *Control) checkEnd(now time.Time, msg mesh.Crash) {
+	ent, have := ctl.liveStart(msg.Server)
+	if !have || now.Sub(msg.At) > maxCheckDelay || !ctl.mem.SelfIsHub(now) || !resume.Checks(msg.Server, ctl.mem.Self(), ctl.mem.LiveHubs(now)) {
+		return
+	}
+	ctl.reach(ent.Service, ent.Address, func() { ctl.post(evReached{start: msg.Server, reported: msg.At}) })
+}
+
+// evReached reports that a server was reached whose end had been reported.
+type evReached struct {
+	start    string
+	reported time.Time
+}
+
+func (evt evReached) apply(ctl *Control, now time.Time) {
+	if now.Sub(evt.reported) <= maxCheckDelay {
+		ctl.serversRunning(now, []string{evt.start}, "")
+	}
+}
+
+// serversRunning takes back the ends of servers that were reached as they were reported, and
+// the crashes with them.
+func (ctl *Control) serversRunning(now time.Time, starts []string, from string) {
+	var wrong []string
+	for _, start := range starts {
+		if ctl.streams.ends.Running(now, start) || ctl.marks.EndedBefore(start, now) {
+			wrong = append(wrong, start)
+			ctl.marks = ctl.marks.WithAnswer(now, start, now)
+			ctl.log.Log("server-not-ended", lines.Fields{"server": start, "from": from})
+		}
+	}
+	if len(wrong) > 0 {
+		ctl.marksChanged(now)
+		ctl.spread(now, from, mesh.Answered{Servers: wrong, Running: wrong})
+	}
 }
 
 // marksChanged logs the causes of crashes that were found or cleared.
--- a/io/edge/events.go
+++ b/io/edge/events.go
@@ -340,6 +340,7 @@
 	case mesh.Sound:
 		ctl.handleSound(now, evt.from, msg)
 	case mesh.Answered:
+		ctl.serversRunning(now, msg.Running, evt.from)
 		ctl.serversAnswered(now, msg.Servers, now, evt.from)
 	}
 }
--- a/io/edge/node.go
+++ b/io/edge/node.go
@@ -147,6 +147,7 @@
 	nod.rdr = follow.New(dep.NewSource(dlr.DialContext), nod.ctl, dep.Clock, dep.Log, nod.ctl.Duty, uint64(born))
 	nod.ctl.rereadStore = nod.rdr.Restart
 	nod.srv = entry.New(set.AdvertisedAddr, set.Zone, nod.ctl, dep.Dialect, nod.poo, dep.Clock, dep.Log, nod.gau).WithTracer(dep.Tracer)
+	nod.ctl.reach = nod.poo.Reach
 	nod.ctl.causesFound = nod.srv.CancelRefused
 	nod.ctl.accounts.usage = nod.srv.Usage
 	nod.rly = newRelay(nod.ctl, nod.transport, nod.poo, dep.Dialect, dep.Clock, nod.gau)
--- a/io/mesh/message.go
+++ b/io/mesh/message.go
@@ -117,8 +117,13 @@
 	// Sound reports that requests with these fingerprints were answered, with the time of
 	// the last answer by this instance's clock.
 	Sound struct{ Prints map[uint64]time.Time }
-	// Answered reports that servers answered which were taken for crashed.
-	Answered struct{ Servers []string }
+	// Answered reports that servers answered which were taken for crashed. Running are
+	// those of them that were reached as they were reported, so that they have not started
+	// again since.
+	Answered struct {
+		Servers []string
+		Running []string
+	}
 	// HeldResults reports results that a stage server holds for a request of the
 	// receiver.
 	HeldResults struct{ sched.HeldResults }
@@ -485,7 +490,7 @@
 }
 
 func (msg Answered) encode(time.Time) *wire.Envelope {
-	return &wire.Envelope{Body: &wire.Envelope_Answered{Answered: &wire.Answered{Servers: msg.Servers}}}
+	return &wire.Envelope{Body: &wire.Envelope_Answered{Answered: &wire.Answered{Servers: msg.Servers, Running: msg.Running}}}
 }
 
 func (msg HeldResults) encode(now time.Time) *wire.Envelope {
@@ -573,7 +578,7 @@
 	case *wire.Envelope_Sound:
 		return toSound(now, bod.Sound)
 	case *wire.Envelope_Answered:
-		return Answered{Servers: bod.Answered.GetServers()}
+		return Answered{Servers: bod.Answered.GetServers(), Running: bod.Answered.GetRunning()}
 	case *wire.Envelope_Limits:
 		return toLimits(bod.Limits)
 	case *wire.Envelope_Usages:
