Records of streams leave at once, whatever versions are seen

Cause: an instance kept the records of its streams to itself while it saw one version alone, and sent them when there was a second. It was killed before.

The registry's division by service goes, as nothing is kept back.

--- a/core/resume/resume.go
+++ b/core/resume/resume.go
@@ -5,7 +5,10 @@
 // entry instances, and their callers come back at any instance.
 package resume
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// maxRecords bounds a registry: the streams of the largest fleet planned, at one of
@@ -34,21 +37,21 @@
 // Registry holds records. It must be used by a single goroutine.
 type Registry struct {
 	records map[string]Record
-	// unshared are the records that other instances don't have, by service.
-	unshared map[string][]string
+	// unshared are the IDs of the records that other instances don't have.
+	unshared []string
 	// dropped counts the records for which there was no space.
 	dropped int
 }
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	return &Registry{records: map[string]Record{}, unshared: map[string][]string{}}
+	return &Registry{records: map[string]Record{}}
 }
 
 // Begin adds the record of a stream whose first event comes through this instance.
 func (reg *Registry) Begin(now time.Time, rec Record) {
 	if reg.put(now, rec) {
-		reg.unshared[rec.Service] = append(reg.unshared[rec.Service], rec.ID)
+		reg.unshared = append(reg.unshared, rec.ID)
 	}
 }
 
@@ -78,31 +81,19 @@
 	return rec, have && rec.Until.After(now)
 }
 
-// MustShare reports whether TakeUnshared would look at any record.
-func (reg *Registry) MustShare(share func(service string) bool) bool {
-	for service := range reg.unshared {
-		if share(service) {
-			return true
-		}
-	}
-	return false
-}
+// HasUnshared reports whether there are records that only this instance has.
+func (reg *Registry) HasUnshared() bool { return len(reg.unshared) > 0 }
 
-// TakeUnshared returns the records that only this instance has, of the services for
-// which share returns true. They count as shared from then on.
-func (reg *Registry) TakeUnshared(now time.Time, share func(service string) bool) []Record {
+// TakeUnshared returns the records that only this instance has. They count as shared from
+// then on.
+func (reg *Registry) TakeUnshared(now time.Time) []Record {
 	var out []Record
-	for service, ids := range reg.unshared {
-		if !share(service) {
-			continue
+	for _, id := range reg.unshared {
+		if rec, have := reg.Get(now, id); have {
+			out = append(out, rec)
 		}
-		for _, id := range ids {
-			if rec, have := reg.Get(now, id); have {
-				out = append(out, rec)
-			}
-		}
-		delete(reg.unshared, service)
 	}
+	reg.unshared = nil
 	return out
 }
 
@@ -113,18 +104,10 @@
 			delete(reg.records, id)
 		}
 	}
-	for service, ids := range reg.unshared {
-		kept := ids[:0]
-		for _, id := range ids {
-			if _, have := reg.records[id]; have {
-				kept = append(kept, id)
-			}
-		}
-		reg.unshared[service] = kept
-		if len(kept) == 0 {
-			delete(reg.unshared, service)
-		}
-	}
+	reg.unshared = slices.DeleteFunc(reg.unshared, func(id string) bool {
+		_, have := reg.records[id]
+		return !have
+	})
 }
 
 // Len returns the number of records.
--- a/io/edge/streams.go
+++ b/io/edge/streams.go
@@ -157,14 +157,10 @@
 	return span
 }
 
-// shareStreams sends the records that only this instance has to others, of the services
-// of which there may be several versions.
+// shareStreams sends the records that only this instance has to others: it may end at any
+// time, and a release may begin at any time.
 func (ctl *Control) shareStreams(now time.Time) {
-	share := func(service string) bool {
-		_, sole := ctl.soleVersion(now, service)
-		return !sole || ctl.stopping
-	}
-	if !ctl.streams.records.MustShare(share) {
+	if !ctl.streams.records.HasUnshared() {
 		return
 	}
 	hubs := ctl.mem.LiveHubs(now)
@@ -172,7 +168,7 @@
 		// The records are sent once others are there.
 		return
 	}
-	list := ctl.streams.records.TakeUnshared(now, share)
+	list := ctl.streams.records.TakeUnshared(now)
 	byKeeper := map[string][]resume.Record{}
 	for _, rec := range list {
 		for _, adr := range resume.Keepers(rec.ID, ctl.set.Zone, hubs) {
