The version of a stream is recorded, not inferred

Cause: without a record an instance took the only version that it had seen for the stream's: at once if the caller named no stream, else after two timeouts of the routes as configured then, and before it asked those who keep the record. No window that an instance knows bounds how long ago a stream began.

Change: a record, or 503 at once. The tracking of versions seen, its windows and peers' inferences are gone; what an earlier build infers counts as unknown. Records name the request by its fingerprint, so that callers who name no stream are found by what they send again, among all live hubs; streams of one request at two versions are nobody's.

--- a/core/resume/resume.go
+++ b/core/resume/resume.go
@@ -10,33 +10,48 @@
 	"time"
 )
 
-const (
-	// maxRecords bounds a registry: the streams of the largest fleet planned, at one of
-	// the instances that keep them, in the time that callers wait.
-	maxRecords = 20000
-	// maxLife bounds the life of a record, whatever time a caller states.
-	maxLife = 2 * time.Minute
-)
+// maxRecords bounds a registry: the streams of the largest fleet planned, at one of the
+// instances that keep them, in the time that callers wait.
+const maxRecords = 20000
+
+// MaxLife bounds the life of a record, whatever time a caller states.
+const MaxLife = 2 * time.Minute
 
 // Record says which software began a stream.
 type Record struct {
-	// ID is that of the caller's attempt that brought the first event.
+	// ID is that of the caller's attempt that brought the first event. Request is the
+	// fingerprint of the request, the same in all its attempts.
 	ID      string
+	Request uint64
 	Service string
 	// Version is the version of the server's software; empty if it is unknown.
 	Version string
 	// Until is when the caller's time for the stream is over.
 	Until time.Time
-	// Inferred records rest on there being one version alone, not on the stream.
-	Inferred bool
 }
 
 // Known reports whether the version is known.
 func (rec *Record) Known() bool { return rec.Version != "" }
 
+// Common returns the record of a stream of which only its request is known, among those of all
+// streams of the request. They must have one version: callers may send the same request.
+func Common(list []Record) (Record, bool) {
+	if len(list) == 0 {
+		return Record{}, false
+	}
+	for _, rec := range list[1:] {
+		if rec.Service != list[0].Service || rec.Version != list[0].Version {
+			return Record{}, false
+		}
+	}
+	return list[0], true
+}
+
 // Registry holds records. It must be used by a single goroutine.
 type Registry struct {
 	records map[string]Record
+	// byRequest are the IDs of the records by request; it has those of records alone.
+	byRequest map[uint64][]string
 	// unshared are the IDs of the records that other instances don't have.
 	unshared []string
 	// dropped counts the records for which there was no space.
@@ -45,7 +60,7 @@
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	return &Registry{records: map[string]Record{}}
+	return &Registry{records: map[string]Record{}, byRequest: map[uint64][]string{}}
 }
 
 // Begin adds the record of a stream whose first event comes through this instance.
@@ -61,17 +76,20 @@
 // put reports whether the record is new. The first record of a stream holds: a stream
 // has one version.
 func (reg *Registry) put(now time.Time, rec Record) bool {
-	if _, have := reg.records[rec.ID]; have || rec.ID == "" || !rec.Known() || rec.Inferred || !rec.Until.After(now) {
+	if _, have := reg.records[rec.ID]; have || rec.ID == "" || !rec.Known() || !rec.Until.After(now) {
 		return false
 	}
 	if len(reg.records) >= maxRecords {
 		reg.dropped++
 		return false
 	}
-	if latest := now.Add(maxLife); rec.Until.After(latest) {
+	if latest := now.Add(MaxLife); rec.Until.After(latest) {
 		rec.Until = latest
 	}
 	reg.records[rec.ID] = rec
+	if rec.Request != 0 {
+		reg.byRequest[rec.Request] = append(reg.byRequest[rec.Request], rec.ID)
+	}
 	return true
 }
 
@@ -81,6 +99,17 @@
 	return rec, have && rec.Until.After(now)
 }
 
+// ByRequest returns the records of all streams of a request.
+func (reg *Registry) ByRequest(now time.Time, request uint64) []Record {
+	var out []Record
+	for _, id := range reg.byRequest[request] {
+		if rec, have := reg.Get(now, id); have {
+			out = append(out, rec)
+		}
+	}
+	return out
+}
+
 // HasUnshared reports whether there are records that only this instance has.
 func (reg *Registry) HasUnshared() bool { return len(reg.unshared) > 0 }
 
@@ -99,9 +128,9 @@
 
 // Sweep drops the records whose time is over.
 func (reg *Registry) Sweep(now time.Time) {
-	for id, rec := range reg.records {
+	for _, rec := range reg.records {
 		if !rec.Until.After(now) {
-			delete(reg.records, id)
+			reg.drop(rec)
 		}
 	}
 	reg.unshared = slices.DeleteFunc(reg.unshared, func(id string) bool {
@@ -110,6 +139,14 @@
 	})
 }
 
+func (reg *Registry) drop(rec Record) {
+	delete(reg.records, rec.ID)
+	ids := slices.DeleteFunc(reg.byRequest[rec.Request], func(id string) bool { return id == rec.ID })
+	if reg.byRequest[rec.Request] = ids; len(ids) == 0 {
+		delete(reg.byRequest, rec.Request)
+	}
+}
+
 // Len returns the number of records.
 func (reg *Registry) Len() int { return len(reg.records) }
 
--- a/core/table/table.go
+++ b/core/table/table.go
@@ -194,20 +194,6 @@
 	return slices.ContainsFunc(rou.Shares, func(shr TrafficShare) bool { return shr.Service == name })
 }
 
-// StreamTimeout returns the longest Timeout of the routes to a service whose streams can
-// be resumed; 0 if there are none.
-func (tab *Table) StreamTimeout(service string) time.Duration {
-	longest := time.Duration(0)
-	for _, rous := range tab.routes {
-		for _, rou := range rous {
-			if rou.Kind == call.Stream && rou.Resumable && rou.HasService(service) {
-				longest = max(longest, rou.Timeout)
-			}
-		}
-	}
-	return longest
-}
-
 // ShortestLatencyTarget returns the shortest LatencyTarget of the routes that have one,
 // or 0.
 func (tab *Table) ShortestLatencyTarget() time.Duration {
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -334,7 +334,6 @@
 	ctl.limits.limiter.Forget(func(id string) bool { return !inUse[id] })
 	ctl.unreadable.forget(func(id string) bool { return !inUse[id] })
 	ctl.limitColdServers(now)
-	ctl.streams.versions.Observe(now, ctl.live)
 	if ctl.tab != nil {
 		ctl.sched.Configure(now, ctl.tab, ctl.live)
 	}
--- a/io/edge/duties.go
+++ b/io/edge/duties.go
@@ -88,8 +88,6 @@
 	ctl.verified = false
 	ctl.resumedAt = now
 	ctl.readConfig, ctl.readServers = false, false
-	ctl.streams.versions.Reset()
-	ctl.streams.fresh = false
 	clear(ctl.relinked)
 	clear(ctl.accounts.notices)
 	for _, adr := range ctl.mem.Peers() {
@@ -108,7 +106,6 @@
 	}
 	if ctl.readConfig && ctl.readServers || now.Sub(ctl.resumedAt) > verifyTimeout {
 		ctl.verified = true
-		ctl.streams.versions.Observe(now, ctl.live)
 		ctl.viewStale = true
 		ctl.log.Log("verified", lines.Fields{"took": now.Sub(ctl.resumedAt).Milliseconds(), "read": ctl.readConfig && ctl.readServers})
 	}
--- a/io/edge/events.go
+++ b/io/edge/events.go
@@ -41,7 +41,6 @@
 	ctl.log.Log("config-in-force", lines.Fields{"version": tab.Version(), "before": old, "from": from, "bytes": len(doc)})
 	ctl.tab, ctl.doc = tab, doc
 	ctl.throttle.SetShortestTarget(tab.ShortestLatencyTarget())
-	clear(ctl.streams.spans)
 	// The next tick sends a heartbeat with the new version, for which peers ask.
 	ctl.heartbeatAt = time.Time{}
 	ctl.changed(now)
--- a/io/entry/takeup.go
+++ b/io/entry/takeup.go
@@ -38,7 +38,7 @@
 func (arq *activeRequest) findStream(ctx context.Context) bool {
 	var rec resume.Record
 	select {
-	case rec = <-arq.srv.ctl.FindStream(arq.streamID(), arq.service):
+	case rec = <-arq.srv.ctl.FindStream(arq.streamID(), uint64(arq.fpr)):
 	case <-ctx.Done():
 		arq.answerUnserved(ctx, outcome{reason: "no-verdict"})
 		return false
@@ -47,8 +47,6 @@
 	switch {
 	case !rec.Known():
 		result = "unknown"
-	case rec.Inferred:
-		result = "inferred"
 	case !arq.rou.HasService(rec.Service):
 		result = "service-gone"
 	}
@@ -57,17 +55,14 @@
 	if result == "unknown" || result == "service-gone" {
 		return arq.refuse("stream-"+result, streamUnknownRetryAfter)
 	}
-	if !rec.Inferred {
-		arq.service, arq.goesOn = rec.Service, true
-	}
-	arq.stream = rec
+	arq.service, arq.goesOn, arq.stream = rec.Service, true, rec
 	return true
 }
 
 // beginStream records the software of the stream's first event, before the caller has
 // it.
 func (arq *activeRequest) beginStream(ent stock.Entry) {
-	if arq.stream.Known() && !arq.stream.Inferred || arq.uncertain {
+	if arq.stream.Known() || arq.uncertain {
 		return
 	}
 	cur, have := arq.currentEntry(ent.ID)
@@ -75,11 +70,11 @@
 		arq.uncertain = true
 		return
 	}
-	until := arq.deadline
+	until := arq.arrived.Add(resume.MaxLife)
 	if arq.req.Timeout > 0 {
 		until = arq.arrived.Add(arq.req.Timeout)
 	}
-	arq.stream = resume.Record{ID: arq.streamID(), Service: arq.service, Version: ent.Version, Until: until}
+	arq.stream = resume.Record{ID: arq.streamID(), Request: uint64(arq.fpr), Service: arq.service, Version: ent.Version, Until: until}
 	arq.srv.ctl.StreamBegan(arq.stream)
 }
 
--- a/io/entry/view.go
+++ b/io/entry/view.go
@@ -111,9 +111,10 @@
 	Ended(id string, out place.Outcome)
 	// StreamBegan records which software began a stream.
 	StreamBegan(rec resume.Record)
-	// FindStream looks for the record of a stream. The answer, sent through the channel
-	// once, is empty if no instance that was asked has one.
-	FindStream(id, service string) <-chan resume.Record
+	// FindStream looks for the record of a stream: by its ID or, if that is empty, by the
+	// fingerprint of its request. The answer, sent through the channel once, is empty if
+	// no instance that was asked has one.
+	FindStream(id string, request uint64) <-chan resume.Record
 	// Crashed reports that a server was lost with a request in flight. names are those of
 	// the parts of its prompt; ended is set if the server refuses new connections.
 	Crashed(req marks.Request, names []string, server string, ended bool)
--- a/io/mesh/message.go
+++ b/io/mesh/message.go
@@ -138,17 +138,18 @@
 	// services through the sender.
 	Usages struct{ List []fair.Usage }
 	// Streams has records of streams for the receiver to keep, or answers AskStream:
-	// Unknown are the IDs that the sender doesn't know.
+	// Unknown are the IDs that the sender doesn't know, Requests the requests of which List
+	// has all streams that it knows.
 	Streams struct {
-		List    []resume.Record
-		Unknown []string
+		List     []resume.Record
+		Unknown  []string
+		Requests []uint64
 	}
-	// AskStream asks for the record of a stream. Without one, the receiver may infer it
-	// if it has seen one version of the service alone for Span.
+	// AskStream asks for the record of the stream with an ID or, without one, of all
+	// streams of a request.
 	AskStream struct {
 		ID      string
-		Service string
-		Span    time.Duration
+		Request uint64
 	}
 	// Speeds has the lasting speeds of engines by service, for an instance that may
 	// become the coordinator.
@@ -588,8 +589,7 @@
 	case *wire.Envelope_Streams:
 		return toStreams(now, bod.Streams)
 	case *wire.Envelope_AskStream:
-		ask := bod.AskStream
-		return AskStream{ID: ask.GetId(), Service: ask.GetService(), Span: time.Duration(ask.GetSpan()) * time.Microsecond}
+		return AskStream{ID: bod.AskStream.GetId(), Request: bod.AskStream.GetRequest()}
 	case *wire.Envelope_Speeds:
 		return toSpeeds(bod.Speeds)
 	case *wire.Envelope_Held:
--- a/stand/field/fault.go
+++ b/stand/field/fault.go
@@ -41,6 +41,7 @@
 	{"all-killed", false, (*injector).killAll},
 	{"server-crashed", false, (*injector).crashServer},
 	{"server-reborn", false, (*injector).restartServer},
+	{"all-released", false, (*injector).releaseAll},
 	{"server-left", true, (*injector).leaveServer},
 	{"server-announced", true, (*injector).announceLeaving},
 	{"server-pauses", true, (*injector).pauseServer},
--- a/stand/field/field.go
+++ b/stand/field/field.go
@@ -98,8 +98,11 @@
 	instances   []*instance
 	servers     map[string]*server
 	serversMade int
-	// versionsDrawn counts the starts of servers.
+	// versionsDrawn counts the starts of servers, releases the replacements of all model
+	// servers by later versions. oneVersion is set while those that start have the same.
 	versionsDrawn int
+	releases      int
+	oneVersion    bool
 	version       int
 	requests      []*request
 	disturbances  []disturbance
@@ -230,12 +233,16 @@
 	return nil
 }
 
-// drawVersion sets the version of a server's software; two are in use side by side.
+// drawVersion sets the version of a server's software; mostly two are in use side by side.
 func (clu *Cluster) drawVersion(fake *fakes.Server) {
 	clu.mu.Lock()
 	defer clu.mu.Unlock()
 	clu.versionsDrawn++
-	fake.SetVersion(fmt.Sprint("v", 1+clu.versionsDrawn%2))
+	version := 1 + 2*clu.releases
+	if !clu.oneVersion {
+		version += clu.versionsDrawn % 2
+	}
+	fake.SetVersion(fmt.Sprint("v", version))
 	fake.TagEvents()
 }
 
--- a/stand/field/send.go
+++ b/stand/field/send.go
@@ -32,9 +32,11 @@
 	keepAlive bool
 	unread    bool
 	// resumes is the request whose stream this one takes up, after event last; nil for
-	// a stream that begins. versions are the software versions of the events received.
+	// a stream that begins, and unnamed is set if it doesn't name it. versions are the
+	// software versions of the events received.
 	resumes  *request
 	last     int
+	unnamed  bool
 	versions []string
 	// path replaces the path that names the request; parts are those of the prompt.
 	path  string
@@ -51,6 +53,12 @@
 	maxCancelDelay = 600 * time.Millisecond
 	// callerTimeout bounds a caller's wait. It is well above the route's timeout.
 	callerTimeout = 3 * routeTimeout
+	// unnamedShare is the share of the callers that don't name the stream that they take
+	// up. patientShare is that of those that wait before, for takeUpDelay and half of it
+	// more at most: longer than it takes to start all instances again.
+	unnamedShare = 0.5
+	patientShare = 0.5
+	takeUpDelay  = 1500 * time.Millisecond
 )
 
 // sendRequests sends requests of all accounts until the context ends.
@@ -75,30 +83,34 @@
 		clu.mu.Lock()
 		clu.requests = append(clu.requests, rqt)
 		clu.mu.Unlock()
-		at := clu.pickInstance(rng)
+		at, wait, unnamed := clu.pickInstance(rng), time.Duration(0), rng.Float64() < unnamedShare
+		if rng.Float64() < patientShare {
+			wait = takeUpDelay + time.Duration(rng.Int64N(int64(takeUpDelay/2)))
+		}
 		clu.grp.Go(func(ctx context.Context) error {
 			clu.send(ctx, rqt, leave)
-			clu.takeUp(ctx, rqt, at)
+			clu.takeUp(ctx, rqt, at, wait, unnamed)
 			return nil
 		})
 	}
 }
 
-// takeUp takes a stream up that was broken off, at an instance and within the first
-// request's time, as callers of resumable routes do.
-func (clu *Cluster) takeUp(ctx context.Context, first *request, at *instance) {
+// takeUp takes a stream up that was broken off, at an instance, after a wait and within the
+// first request's time, as callers of resumable routes do.
+func (clu *Cluster) takeUp(ctx context.Context, first *request, at *instance, wait time.Duration, unnamed bool) {
 	clu.mu.Lock()
 	last := strings.Count(completeEvents(first), eventEnd)
 	broken := first.route == "resume" && first.err != nil && first.canceledAt.IsZero() && last > 0 && first.status == http.StatusOK
-	left := routeTimeout - first.end.Sub(first.start)
-	rqt := &request{id: first.id + "-on", account: first.account, route: first.route, body: first.body, instance: at, resumes: first, last: last}
-	if broken && at != nil && left > 0 {
-		clu.requests = append(clu.requests, rqt)
-	}
+	left := routeTimeout - first.end.Sub(first.start) - wait
 	clu.mu.Unlock()
-	if broken && at != nil && left > 0 {
-		clu.send(ctx, rqt, 0)
+	if !broken || at == nil || left <= 0 || !sleep(ctx, wait) {
+		return
 	}
+	rqt := &request{id: first.id + "-on", account: first.account, route: first.route, body: first.body, instance: at, resumes: first, last: last, unnamed: unnamed}
+	clu.mu.Lock()
+	clu.requests = append(clu.requests, rqt)
+	clu.mu.Unlock()
+	clu.send(ctx, rqt, 0)
 }
 
 // pickInstance returns a random instance in rotation, or nil.
@@ -144,7 +156,10 @@
 	}
 	call := fakes.CallerRequest{ID: rqt.id, Path: rqt.target(), Body: rqt.body, Deadline: routeTimeout, Pieces: "2,1", Parts: rqt.parts, Key: apiKey(rqt.account)}
 	if rqt.resumes != nil {
-		call.Resumes, call.LastEvent = rqt.resumes.id, rqt.last
+		call.LastEvent = rqt.last
+		if !rqt.unnamed {
+			call.Resumes = rqt.resumes.id
+		}
 		call.Deadline -= start.Sub(rqt.resumes.start)
 	}
 	got := *rqt
--- a/stand/field/servers.go
+++ b/stand/field/servers.go
@@ -88,6 +88,46 @@
 	})
 }
 
+// releaseAll replaces the model servers by servers of one or two later versions. Half of the time all
+// instances are killed meanwhile, so that none has seen the earlier versions.
+func (inj *injector) releaseAll(ctx context.Context) error {
+	clu := inj.cluster
+	end := clu.beginDisturbance("all-released", false, nil)
+	defer end()
+	clu.mu.Lock()
+	clu.releases++
+	clu.oneVersion = inj.rng.IntN(2) == 0
+	var old []*server
+	for _, ser := range clu.servers {
+		if ser.kind == "model" && !ser.busy && ser.leavingSince.IsZero() {
+			ser.busy = true
+			old = append(old, ser)
+		}
+	}
+	clu.mu.Unlock()
+	for _, ser := range old {
+		if err := clu.addServer(ser.service, ser.kind, ser.zone); err != nil {
+			return err
+		}
+	}
+	sleep(ctx, inj.drawDuration()/4)
+	kill := inj.rng.IntN(2) == 0
+	for _, ser := range old {
+		clu.removeEntry(ser)
+		if kill {
+			ser.fake.Close()
+		}
+	}
+	if kill {
+		return inj.killAll(ctx)
+	}
+	sleep(ctx, drainBound+routeTimeout)
+	for _, ser := range old {
+		ser.fake.Close()
+	}
+	return nil
+}
+
 // leaveServer drains a server: its entry says that it leaves, and it goes on
 // serving for a while before it stops.
 func (inj *injector) leaveServer(ctx context.Context) error {
