Refused relays don't loosen the bound on relayed bytes

What callers saw: nothing yet.

Cause: the short circuit of the check skips the addition, the deferred subtraction runs all the same. Change: both counts are taken before the check.

--- a/io/edge/relay.go
+++ b/io/edge/relay.go
@@ -158,9 +158,10 @@
 // Relay sends a request of another instance to a server.
 func (rly *relay) Relay(ctx context.Context, cal mesh.RelayCall, rsp mesh.RelayResponse) error {
 	size := int64(len(cal.Body))
+	num, bytes := rly.inFlight.Add(1), rly.bytes.Add(size)
 	defer rly.bytes.Add(-size)
 	defer rly.inFlight.Add(-1)
-	if rly.inFlight.Add(1) > maxRelayed || rly.bytes.Add(size) > maxRelayedBytes {
+	if num > maxRelayed || bytes > maxRelayedBytes {
 		return rly.refused(mesh.RelayBusy, "too many requests of other instances")
 	}
 	viw := rly.ctl.View()
