The exit of a server that leaves is no crash

Cause: a server that closes its connections and refuses new ones counted as crashed, whether it had said that it leaves or not.

Change: the end of a server that is leaving or gone from the list is no evidence. Shown: denied-planned-exits-are-no-crashes finds crash-cause-found on the code before, and passes now; the scripts denied, budget-crash, order are green in two runs each.

Not changed: the pipelines' own path.

--- a/io/entry/crash.go
+++ b/io/entry/crash.go
@@ -91,6 +91,11 @@
 	if ctx.Err() != nil || !conns.ServerClosed(err) {
 		return
 	}
+	if arq.srv.ctl.View().Unusable[ent.ID] {
+		// A server that leaves exits at some time, with what is still in flight.
+		arq.srv.gau.Count("crash-checks", "leaving")
+		return
+	}
 	req := arq.marks()
 	if !begun.IsZero() && arq.srv.clk.Now().Sub(begun) >= soundAfter {
 		req = req[:1]
