--- a/io/edge/streams.go
+++ b/io/edge/streams.go
@@ -204,7 +204,7 @@
 	}
 }
 
-// answered handles an instance that has told all it knows of a stream, or is gone. Once all
+// answered handles an instance that has sent all it knows of a stream, or is gone. Once all
 // have, the lookup ends.
 func (ctl *Control) answered(key lookupKey, from string) {
 	lup := ctl.streams.lookups[key]
--- a/test/streams_test.go
+++ b/test/streams_test.go
@@ -46,9 +46,8 @@
 	versions []string
 }
 
-// Streams are taken up after instances were killed or suspended during a release. They must not
-// be joined from two versions; where servers of their version serve and any instance has kept
-// its state, they must go on as often as new ones begin.
+// Streams that are taken up after kills, suspensions and releases must not be joined from two
+// versions, and go on where an instance has kept the record and a server the version.
 func TestStreamsKeepTheirVersion(t *testing.T) {
 	kill := func(nums ...int) func(*testing.T, *fleet) {
 		return func(t *testing.T, flt *fleet) {
