Servers without requests are observed, so that their ends are seen

What callers saw: a server with nothing on it ends and is back in place 0.2 s later as another version, its entry a second later.

Hypotheses: the end is known and not looked at; it is known too late; nobody knows of it. No instance writes server-lost-with-request for the server and EndedStarts is empty: the third. Only who lost a request at a server saw its end. Class: evidence that exists only while there is traffic.

Change: two instances keep a connection without requests open to each server whose streams may be resumed and whose entry names its start. When it is closed another is opened at once; if that is refused, the start has ended. The word goes round as other ends do, is checked by others as they are, and is sent to instances that link later. The connections have places beside those that instances divide.

Why it works: whoever ends closes the connection, and its address refuses new ones until it is back; an idle connection that a server closes, or one beyond its number that it resets, is followed by one that opens or is reset.

Ruled out: looking at idle connections (there are none); asking a server for its start before a stream goes on (one call, exact, but who doesn't answer it would end all streams that could go on).

--- a/core/resume/ends.go
+++ b/core/resume/ends.go
@@ -28,6 +28,7 @@
 
 // end is the end of a start.
 type end struct {
+	at    time.Time
 	until time.Time
 	// sequence is that of the last entry before the end.
 	sequence int64
@@ -43,7 +44,7 @@
 	if _, have := ens.ends[start]; have || len(ens.ends) >= maxEnds || ens.running[start].After(at) {
 		return false
 	}
-	ens.ends[start] = end{until: now.Add(endTime), sequence: last.Sequence}
+	ens.ends[start] = end{at: at, until: now.Add(endTime), sequence: last.Sequence}
 	return true
 }
 
@@ -86,6 +87,15 @@
 	return len(ens.ends) < before
 }
 
+// Times returns when the starts seem to have ended.
+func (ens *Ends) Times() map[string]time.Time {
+	out := make(map[string]time.Time, len(ens.ends))
+	for start, end := range ens.ends {
+		out[start] = end.at
+	}
+	return out
+}
+
 // Starts returns the starts that seem to have ended, or nil.
 func (ens *Ends) Starts() map[string]bool {
 	if len(ens.ends) == 0 {
--- a/core/resume/keepers.go
+++ b/core/resume/keepers.go
@@ -44,6 +44,18 @@
 	return slices.Contains(firstOf(byZone, []string{self.Zone}, askedPerZone), self.Address)
 }
 
+// Observers is the number of instances that keep a connection open to each server, to notice
+// when it ends: one of them may end, or lose its path.
+const Observers = 2
+
+// Observes reports whether an instance is one of those that observe a server's start: the
+// first by hash of its zone, or of others if the zone has too few.
+func Observes(start, zone string, self member.Member, others []member.Member) bool {
+	byZone := rankedByZone(start, append([]member.Member{self}, others...))
+	list := firstOf(byZone, zonesFor(start, zone, byZone, len(byZone)), Observers)
+	return slices.Contains(list[:min(Observers, len(list))], self.Address)
+}
+
 // rankedByZone orders the members of each zone by rendezvous hash.
 func rankedByZone(id string, members []member.Member) map[string][]string {
 	byZone := map[string][]string{}
--- a/core/resume/resume_test.go
+++ b/core/resume/resume_test.go
@@ -137,3 +137,36 @@
 	reg.Sweep(at(12))
 	require.Empty(t, reg.byRequest)
 }
+
+// Each server must be observed by two instances of its zone, by others where the zone has too
+// few, and by all where there are too few at all.
+func TestServersAreObserved(t *testing.T) {
+	var all []member.Member
+	for num := range 9 {
+		all = append(all, member.Member{Address: fmt.Sprint("m", num), Zone: fmt.Sprint("z", num%3)})
+	}
+	all = append(all, member.Member{Address: "lone", Zone: "z3"})
+	count := func(start, zone string, list []member.Member) (total, own int) {
+		for num, mem := range list {
+			others := slices.Delete(slices.Clone(list), num, num+1)
+			if Observes(start, zone, mem, others) {
+				total++
+				if mem.Zone == zone {
+					own++
+				}
+			}
+		}
+		return total, own
+	}
+	for num := range 50 {
+		start := fmt.Sprint("s", num)
+		total, own := count(start, "z1", all)
+		require.Equal(t, []int{2, 2}, []int{total, own})
+		total, own = count(start, "z3", all)
+		require.Equal(t, []int{2, 1}, []int{total, own})
+		total, own = count(start, "no instances", all)
+		require.Equal(t, []int{2, 0}, []int{total, own})
+		total, _ = count(start, "z1", all[:1])
+		require.Equal(t, 1, total)
+	}
+}
--- a/core/table/table.go
+++ b/core/table/table.go
@@ -144,9 +144,11 @@
 
 // Table is one version of the configuration.
 type Table struct {
-	version             int64
-	routes              map[string][]*Route
-	services            map[string]*Service
+	version  int64
+	routes   map[string][]*Route
+	services map[string]*Service
+	// resumable are the services whose streams can be resumed on another server.
+	resumable           map[string]bool
 	accountsByKey       map[string]*Account
 	limits              Limits
 	requiresCredentials bool
@@ -155,10 +157,13 @@
 // New returns a table. Keys maps API keys to accounts; if it is nil, callers
 // need no credentials.
 func New(version int64, routes []*Route, services []*Service, keys map[string]*Account, limits Limits) *Table {
-	tab := &Table{version: version, routes: map[string][]*Route{}, services: map[string]*Service{}, accountsByKey: keys, limits: limits, requiresCredentials: keys != nil}
+	tab := &Table{version: version, routes: map[string][]*Route{}, services: map[string]*Service{}, resumable: map[string]bool{}, accountsByKey: keys, limits: limits, requiresCredentials: keys != nil}
 	for _, rou := range routes {
 		hst := strings.ToLower(rou.Host)
 		tab.routes[hst] = append(tab.routes[hst], rou)
+		for _, shr := range rou.Shares {
+			tab.resumable[shr.Service] = tab.resumable[shr.Service] || rou.Resumable
+		}
 	}
 	for _, rous := range tab.routes {
 		sort.SliceStable(rous, func(i, j int) bool { return len(rous[i].Prefix) > len(rous[j].Prefix) })
@@ -182,6 +187,9 @@
 // Service returns a service by name, or nil.
 func (tab *Table) Service(name string) *Service { return tab.services[name] }
 
+// Resumable reports whether streams of a service can be resumed on another server.
+func (tab *Table) Resumable(service string) bool { return tab.resumable[service] }
+
 // EachService calls visit for every service, in no particular order.
 func (tab *Table) EachService(visit func(*Service)) {
 	for _, svc := range tab.services {
--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -143,6 +143,8 @@
 	// expires is the time from which the connection must not be reused.
 	expires time.Time
 	used    bool
+	// uncounted is set if the pool's number of open connections doesn't include it.
+	uncounted bool
 }
 
 // takeIdle returns an idle connection that is still usable, or nil.
@@ -243,10 +245,10 @@
 	defer poo.mu.Unlock()
 	poo.connects[connectResult(ctx, err)]++
 	if err != nil {
-		poo.release(req.Address)
+		poo.release(req.Address, req.Uncounted)
 		return nil, err
 	}
-	con := &conn{Conn: raw, address: req.Address, soc: socketReader{con: raw, clk: poo.clk}}
+	con := &conn{Conn: raw, address: req.Address, uncounted: req.Uncounted, soc: socketReader{con: raw, clk: poo.clk}}
 	con.rdr = bufio.NewReaderSize(&con.soc, readBufferSize)
 	return con, nil
 }
@@ -301,13 +303,18 @@
 	if req.MaxConns > 0 && poo.open[req.Address] >= req.MaxConns {
 		return &ConnLimitError{Address: req.Address, Limit: req.MaxConns}
 	}
-	poo.open[req.Address]++
 	poo.opened++
+	if !req.Uncounted {
+		poo.open[req.Address]++
+	}
 	return nil
 }
 
 // release removes a connection from the count. The caller holds the lock.
-func (poo *Pool) release(address string) {
+func (poo *Pool) release(address string, uncounted bool) {
+	if uncounted {
+		return
+	}
 	poo.open[address]--
 	if poo.open[address] <= 0 {
 		delete(poo.open, address)
@@ -332,7 +339,7 @@
 // closeLocked closes a connection. The caller holds the lock.
 func (poo *Pool) closeLocked(con *conn) {
 	_ = con.Close()
-	poo.release(con.address)
+	poo.release(con.address, con.uncounted)
 }
 
 func (poo *Pool) discard(con *conn) {
--- a/io/conns/exchange.go
+++ b/io/conns/exchange.go
@@ -40,6 +40,8 @@
 	// MaxConns is how many connections this instance may hold to the server,
 	// including idle ones; 0 means no limit.
 	MaxConns int
+	// Uncounted is set if the connection has a place beside those that MaxConns bounds.
+	Uncounted bool
 	// RelayIfTaken is set if the request goes through another instance when all connections
 	// that this one may hold to the server are in use.
 	RelayIfTaken bool
--- /dev/null
+++ b/io/conns/observe_test.go
@@ -0,0 +1,89 @@
+package conns
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lovagestream/io/clock"
+	"lovagestream/io/group"
+)
+
+// A server without requests ends. Its end must be seen at once, and only if new connections are
+// refused: servers close idle connections, and reset those beyond their number.
+func TestObserverSeesEnds(t *testing.T) {
+	for name, tst := range map[string]struct {
+		exit  bool
+		ended int
+	}{
+		"closes the connection": {false, 0},
+		"ends":                  {true, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			lis, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer func() { _ = lis.Close() }()
+			accepted := make(chan net.Conn, 16)
+			grp := group.New(context.Background())
+			defer grp.Stop()
+			grp.Go(func(context.Context) error {
+				for {
+					con, err := lis.Accept()
+					if err != nil {
+						return nil
+					}
+					accepted <- con
+				}
+			})
+			poo := NewPool(clock.System{}, grp, nil)
+			ended := make(chan string, 16)
+			obr := NewObserver(poo, func(start string) { ended <- start })
+			obd := Observed{Start: "m1/7", Service: "m", Address: lis.Addr().String()}
+			obr.Observe([]Observed{obd})
+			con := <-accepted
+			require.Zero(t, poo.open[obd.Address], "the connection has a place of its own")
+			if tst.exit {
+				_ = lis.Close()
+			}
+			_ = con.Close()
+			if tst.ended == 0 {
+				_ = (<-accepted).Close()
+			}
+			select {
+			case start := <-ended:
+				require.Equal(t, obd.Start, start)
+				require.Equal(t, 1, tst.ended)
+			case <-time.After(300 * time.Millisecond):
+				require.Zero(t, tst.ended)
+			}
+			obr.Observe(nil)
+			require.Empty(t, obr.cancels)
+		})
+	}
+}
+
+// A server that closes each connection at once must not be asked without a pause.
+func TestObserverPausesBetweenConnections(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = lis.Close() }()
+	grp := group.New(context.Background())
+	defer grp.Stop()
+	grp.Go(func(context.Context) error {
+		for {
+			con, err := lis.Accept()
+			if err != nil {
+				return nil
+			}
+			_ = con.Close()
+		}
+	})
+	poo := NewPool(clock.System{}, grp, nil)
+	NewObserver(poo, func(string) { t.Error("the server has not ended") }).Observe([]Observed{{Start: "m1/7", Address: lis.Addr().String()}})
+	time.Sleep(observeInterval * 3 / 2)
+	require.LessOrEqual(t, poo.Opened(), int64(4))
+}
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -14,6 +14,7 @@
 	"lovagestream/core/table"
 	"lovagestream/io/accept"
 	"lovagestream/io/clock"
+	"lovagestream/io/conns"
 	"lovagestream/io/entry"
 	"lovagestream/io/follow"
 	"lovagestream/io/lines"
@@ -118,6 +119,8 @@
 	crashed map[string]stock.Entry
 	// reach calls a function if a new connection to a server stays open.
 	reach func(service, address string, fun func())
+	// observe observes these servers and no others.
+	observe func(list []conns.Observed)
 	// causesFound is called with the evidence if it implicates any requests.
 	causesFound func(tab *marks.Table)
 	// causes are the fingerprints for which requests are refused; partNames are the names of
@@ -221,7 +224,7 @@
 		set: set, clk: clk, dec: dec, log: log, events: make(chan event, queueLength),
 		mem:      member.NewSet(member.Member{Address: set.AdvertisedAddr, Zone: set.Zone, StartedAt: born, MilliCPU: set.MilliCPU}),
 		registry: stock.NewRegistry(), limits: newLimits(), pauses: newPauses(), accounts: newAccounts(), streams: newStreams(),
-		wrongServers: map[string]stock.Revision{}, pending: map[string]*pendingRequest{}, sync: newSyncState(), sent: sentHeartbeat{missed: map[string]bool{}}, large: make(chan struct{}, largeMessages), ended: make(chan struct{}), relinked: map[string]bool{}, frees: map[string][]string{}, losses: reach.NewLosses(), coldUntil: map[string]time.Time{}, crashed: map[string]stock.Entry{}, sounds: map[uint64]time.Time{}, partNames: map[marks.Fingerprint]string{}, reach: func(string, string, func()) {}, causesFound: func(*marks.Table) {}, unreadable: newUnreadable(), badEntries: newUnreadable(), piecesRequested: map[string]int{},
+		wrongServers: map[string]stock.Revision{}, pending: map[string]*pendingRequest{}, sync: newSyncState(), sent: sentHeartbeat{missed: map[string]bool{}}, large: make(chan struct{}, largeMessages), ended: make(chan struct{}), relinked: map[string]bool{}, frees: map[string][]string{}, losses: reach.NewLosses(), coldUntil: map[string]time.Time{}, crashed: map[string]stock.Entry{}, sounds: map[uint64]time.Time{}, partNames: map[marks.Fingerprint]string{}, reach: func(string, string, func()) {}, observe: func([]conns.Observed) {}, causesFound: func(*marks.Table) {}, unreadable: newUnreadable(), badEntries: newUnreadable(), piecesRequested: map[string]int{},
 		verified: true, startedAt: now, ticked: now, due: evTick{due: now, boot: bootTime()}, coordinator: set.AdvertisedAddr, rereadStore: func() {}, throttle: accept.NewThrottle(clk),
 	}
 	ctl.sched = sched.New(ctl, ctl.limits.limiter)
--- a/io/edge/crashes.go
+++ b/io/edge/crashes.go
@@ -40,6 +40,10 @@
 		if msg.Ended && ctl.addEnd(now, msg.At, msg.Server) {
 			ended = true
 		}
+		if msg.Request == 0 {
+			// No request was lost at the server.
+			continue
+		}
 		crs := marks.NewCrash(msg.Server, msg.At)
 		if msg.Ended {
 			crs = crs.WithEnd()
@@ -120,6 +124,7 @@
 		if ctl.streams.ends.Running(now, start) || ctl.marks.EndedBefore(start, now) {
 			wrong = append(wrong, start)
 			ctl.marks = ctl.marks.WithAnswer(now, start, now)
+			ctl.calls.gau.Count("server-ends", "taken-back")
 			ctl.log.Log("server-not-ended", lines.Fields{"server": start, "from": from})
 		}
 	}
@@ -157,8 +162,8 @@
 
 // sendCrashes sends the evidence to a new peer: it may have started or been cut off since.
 func (ctl *Control) sendCrashes(peer string) {
-	list := ctl.marks.Reports()
-	if len(list) == 0 {
+	list, ends := ctl.marks.Reports(), ctl.streams.ends.Times()
+	if len(list) == 0 && len(ends) == 0 {
 		return
 	}
 	msg, snd := mesh.Crashes{}, mesh.Sound{Prints: map[uint64]time.Time{}}
@@ -168,6 +173,12 @@
 			crs.Names = append(crs.Names, ctl.partNames[fpr])
 		}
 		msg.List = append(msg.List, crs)
+		if crs.Ended {
+			delete(ends, crs.Server)
+		}
+	}
+	for start, at := range ends {
+		msg.List = append(msg.List, mesh.Crash{Server: start, Ended: true, At: at})
 	}
 	for fpr, at := range ctl.marks.Sounds(list) {
 		snd.Prints[uint64(fpr)] = at
--- a/io/edge/ends_test.go
+++ b/io/edge/ends_test.go
@@ -6,6 +6,11 @@
 
 	"github.com/stretchr/testify/require"
 
+	"lovagestream/core/member"
+	"lovagestream/core/stock"
+	"lovagestream/core/table"
+	"lovagestream/io/conns"
+	"lovagestream/io/follow"
 	"lovagestream/io/mesh"
 )
 
@@ -51,3 +56,32 @@
 	ctl.at(now, evCrash{msg: crs, from: "d"})
 	require.False(t, ctl.View().EndedStarts[start])
 }
+
+// An observed server ends. All peers must hear of it at once, and those that link later, and no
+// request may be taken for the cause.
+func TestObservedEndIsToldToPeers(t *testing.T) {
+	ctl, lnk, now := newStreamed(t)
+	var observed []conns.Observed
+	ctl.observe = func(list []conns.Observed) { observed = list }
+	ent := ctl.live[0]
+	ent.StartedAt = 7
+	ctl.at(now, evServers{list: follow.Listing{Revision: 9, Records: []stock.Record{{Revision: 9, Entry: ent}}}})
+	ctl.updateObserved(now)
+	require.Empty(t, observed, "no stream of it can be resumed")
+	ctl.tab = table.New(9, []*table.Route{{Host: "h", Shares: []table.TrafficShare{{Service: ent.Service}}, Resumable: true}}, nil, nil, table.Limits{})
+	ctl.updateObserved(now)
+	start := ctl.live[0].Start()
+	require.Equal(t, []conns.Observed{{Start: start, Service: ent.Service, Address: ent.Address}}, observed)
+	ctl.at(now, evServerEnded{start: start}, evServerEnded{start: start}, evServerEnded{start: "unknown"})
+	require.True(t, ctl.View().EndedStarts[start])
+	require.Zero(t, ctl.marks.Len())
+	want := mesh.Crash{Server: start, Ended: true, At: now}
+	require.Equal(t, []mesh.Crash{want}, messagesOf[mesh.Crash](lnk, "c"))
+	ctl.at(now, evLinked{mem: member.Member{Address: "g", Zone: "x", StartedAt: 4}})
+	require.Equal(t, []mesh.Crashes{{List: []mesh.Crash{want}}}, messagesOf[mesh.Crashes](lnk, "g"))
+	other, _, _ := newStreamed(t)
+	other.at(now, evServers{list: follow.Listing{Revision: 9, Records: []stock.Record{{Revision: 9, Entry: ent}}}})
+	other.at(now, evMessage{from: "c", msg: want})
+	require.True(t, other.View().EndedStarts[start])
+	require.Zero(t, other.marks.Len())
+}
--- a/io/edge/gauges.go
+++ b/io/edge/gauges.go
@@ -41,6 +41,8 @@
 	// that of those for which there was no space.
 	streams    int
 	unrecorded int
+	// observed is the number of servers to which a connection is kept open.
+	observed int
 	// causes are those of crashes of servers, suspects counts the fingerprints with evidence.
 	causes   []CrashCause
 	suspects int
@@ -50,7 +52,7 @@
 
 // snapshot returns the current stats.
 func (ctl *Control) snapshot(now time.Time) *stats {
-	sta := &stats{servers: len(ctl.live), pending: len(ctl.pending), jobs: ctl.sched.Jobs(), coordinator: ctl.coordinator, readsStore: ctl.Duty().Reads, storeAge: -1, verified: ctl.verified, limits: ctl.limits.limiter.All(), unplaced: ctl.sched.Unplaced(), cold: ctl.limits.limiter.ColdServers(), evacuated: len(ctl.evacuated), paused: len(ctl.pauses.list(now)), speeds: ctl.sched.Speeds(now), over: ctl.accounts.over, waiting: ctl.waitingByAccount(), streams: ctl.streams.records.Len(), unrecorded: ctl.streams.records.Dropped(), causes: ctl.crashCauses(now), suspects: ctl.marks.Len()}
+	sta := &stats{servers: len(ctl.live), pending: len(ctl.pending), jobs: ctl.sched.Jobs(), coordinator: ctl.coordinator, readsStore: ctl.Duty().Reads, storeAge: -1, verified: ctl.verified, limits: ctl.limits.limiter.All(), unplaced: ctl.sched.Unplaced(), cold: ctl.limits.limiter.ColdServers(), evacuated: len(ctl.evacuated), paused: len(ctl.pauses.list(now)), speeds: ctl.sched.Speeds(now), over: ctl.accounts.over, waiting: ctl.waitingByAccount(), streams: ctl.streams.records.Len(), unrecorded: ctl.streams.records.Dropped(), observed: ctl.streams.observed, causes: ctl.crashCauses(now), suspects: ctl.marks.Len()}
 	sta.live, sta.known = ctl.mem.Count(now)
 	if ctl.tab != nil {
 		sta.configVersion = ctl.tab.Version()
@@ -68,6 +70,7 @@
 	}
 	read("streams-recorded", func(sta *stats) any { return sta.streams })
 	read("streams-unrecorded", func(sta *stats) any { return sta.unrecorded })
+	read("servers-observed", func(sta *stats) any { return sta.observed })
 	read("crash-causes", func(sta *stats) any { return len(sta.causes) })
 	read("crash-suspects", func(sta *stats) any { return sta.suspects })
 	read("config-version", func(sta *stats) any { return sta.configVersion })
--- a/io/edge/node.go
+++ b/io/edge/node.go
@@ -148,6 +148,7 @@
 	nod.ctl.rereadStore = nod.rdr.Restart
 	nod.srv = entry.New(set.AdvertisedAddr, set.Zone, nod.ctl, dep.Dialect, nod.poo, dep.Clock, dep.Log, nod.gau).WithTracer(dep.Tracer)
 	nod.ctl.reach = nod.poo.Reach
+	nod.ctl.observe = conns.NewObserver(nod.poo, func(start string) { nod.ctl.post(evServerEnded{start: start}) }).Observe
 	nod.ctl.causesFound = nod.srv.CancelRefused
 	nod.ctl.accounts.usage = nod.srv.Usage
 	nod.rly = newRelay(nod.ctl, nod.transport, nod.poo, dep.Dialect, dep.Clock, nod.gau)
--- a/io/edge/streams.go
+++ b/io/edge/streams.go
@@ -21,8 +21,10 @@
 type streams struct {
 	records *resume.Registry
 	// ends are the starts of servers at which no stream goes on.
-	ends    resume.Ends
-	lookups map[lookupKey]*lookup
+	ends resume.Ends
+	// observed is the number of servers that this instance observes.
+	observed int
+	lookups  map[lookupKey]*lookup
 	// sweptAt is when records were last dropped.
 	sweptAt time.Time
 }
@@ -47,7 +49,8 @@
 	return &streams{records: resume.NewRegistry(), lookups: map[lookupKey]*lookup{}}
 }
 
-// sweepPeriod is how often records whose time is over are dropped.
+// sweepPeriod is how often records whose time is over are dropped, and the servers to observe
+// are determined.
 const sweepPeriod = time.Second
 
 // updateStreams does the periodic work on streams.
@@ -59,6 +62,7 @@
 	if now.Sub(stm.sweptAt) >= sweepPeriod {
 		stm.sweptAt = now
 		stm.records.Sweep(now)
+		ctl.updateObserved(now)
 	}
 }
 
--- a/io/entry/view.go
+++ b/io/entry/view.go
@@ -61,7 +61,7 @@
 
 // Connections returns how many connections this instance may hold to one server
 // of a service: an even share of the server's connection limit, at least one. 0
-// means that there is no limit.
+// means that there is no limit. Those of the instances that observe it come first.
 func (viw *View) Connections(service string) int {
 	if viw.Table == nil {
 		return 0
@@ -70,7 +70,11 @@
 	if svc == nil || svc.MaxConnections == 0 {
 		return 0
 	}
-	return max(1, svc.MaxConnections/max(1, viw.Known))
+	most := svc.MaxConnections
+	if viw.Table.Resumable(service) {
+		most -= resume.Observers
+	}
+	return max(1, most/max(1, viw.Known))
 }
 
 // RunsPieces reports whether a service runs the pieces of stages.
