A server to which a connection is open has not ended

Cause: conns.Ended and conns.Reach look at new connections alone. A process that ends closes all of its connections. Change: the pool knows its open connections; one from which there is nothing to read and that isn't closed shows that the server runs. The check takes no read lock, since requests read at the same time.

Failed before: TestServerThatResetsConnectionsHasNotEnded, one run of one without the change of path.go. After: fifteen of fifteen under the race detector. Not played with the platform's servers.

--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -87,6 +87,8 @@
 	// open is the number of connections by address, including idle ones and
 	// those being opened.
 	open map[string]int
+	// conns are the open connections by address, in use or not.
+	conns map[string]map[*conn]bool
 	// opened counts connections opened, connects the attempts by their result, overBound the
 	// responses beyond a bound by the part that the bound is on.
 	opened    int64
@@ -97,7 +99,7 @@
 // NewPool returns a pool whose connections have the local address localAddr, or
 // any if it is nil.
 func NewPool(clk clock.Service, grp *group.Group, localAddr *net.TCPAddr) *Pool {
-	poo := &Pool{clk: clk, grp: grp, idle: map[string][]*conn{}, open: map[string]int{}, connects: map[string]int64{}, overBound: map[string]int64{}, paths: newPaths(), mem: NewMemory(maxBuffered)}
+	poo := &Pool{clk: clk, grp: grp, idle: map[string][]*conn{}, open: map[string]int{}, conns: map[string]map[*conn]bool{}, connects: map[string]int64{}, overBound: map[string]int64{}, paths: newPaths(), mem: NewMemory(maxBuffered)}
 	dlr := Dialer(localAddr)
 	poo.dial = dlr.DialContext
 	return poo
@@ -169,9 +171,12 @@
 // usable reports whether a connection is open and nothing can be read from it:
 // unsolicited bytes belong to no request, and a closed connection is readable.
 func (con *conn) usable() bool {
-	if con.rdr.Buffered() > 0 {
-		return false
-	}
+	return con.rdr.Buffered() == 0 && con.quiet()
+}
+
+// quiet reports whether a connection is open and nothing is to be read from it. It may be called
+// while another goroutine reads.
+func (con *conn) quiet() bool {
 	sys, ok := con.Conn.(syscall.Conn)
 	if !ok {
 		return true
@@ -181,15 +186,26 @@
 		return false
 	}
 	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
+	err = raw.Control(func(fd uintptr) {
 		var one [1]byte
 		_, _, rerr := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		quiet = errors.Is(rerr, unix.EAGAIN)
-		return true
 	})
 	return err == nil && quiet
 }
 
+// connected reports whether a connection to an address is open.
+func (poo *Pool) connected(address string) bool {
+	poo.mu.Lock()
+	defer poo.mu.Unlock()
+	for con := range poo.conns[address] {
+		if con.quiet() {
+			return true
+		}
+	}
+	return false
+}
+
 // ConnLimitError is the error of a request that would need more connections to
 // a server than this instance may hold. A server resets connections beyond its
 // limit for all entry instances, so exceeding the share would fail requests of
@@ -250,6 +266,10 @@
 	}
 	con := &conn{Conn: raw, address: req.Address, uncounted: req.Uncounted, soc: socketReader{con: raw, clk: poo.clk}}
 	con.rdr = bufio.NewReaderSize(&con.soc, readBufferSize)
+	if poo.conns[req.Address] == nil {
+		poo.conns[req.Address] = map[*conn]bool{}
+	}
+	poo.conns[req.Address][con] = true
 	return con, nil
 }
 
@@ -340,6 +360,9 @@
 func (poo *Pool) closeLocked(con *conn) {
 	_ = con.Close()
 	poo.release(con.address, con.uncounted)
+	if delete(poo.conns[con.address], con); len(poo.conns[con.address]) == 0 {
+		delete(poo.conns, con.address)
+	}
 }
 
 func (poo *Pool) discard(con *conn) {
--- a/io/conns/observe_test.go
+++ b/io/conns/observe_test.go
@@ -87,3 +87,52 @@
 	time.Sleep(observeInterval * 3 / 2)
 	require.LessOrEqual(t, poo.Opened(), int64(4))
 }
+
+// A server resets connections beyond its number. It must not be taken for ended by an instance
+// that has another connection to it open, and must count as reached.
+func TestServerThatResetsConnectionsHasNotEnded(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = lis.Close() }()
+	grp := group.New(context.Background())
+	defer grp.Stop()
+	first := make(chan net.Conn, 1)
+	grp.Go(func(context.Context) error {
+		for {
+			con, err := lis.Accept()
+			if err != nil {
+				return nil
+			}
+			select {
+			case first <- con:
+			default:
+				_ = con.(*net.TCPConn).SetLinger(0)
+				_ = con.Close()
+			}
+		}
+	})
+	poo := NewPool(clock.System{}, grp, nil)
+	address := lis.Addr().String()
+	con, err := poo.openConn(context.Background(), Request{Address: address, Uncounted: true}, time.Second)
+	require.NoError(t, err)
+	grp.Go(func(ctx context.Context) error {
+		con.waitClosed(ctx)
+		return nil
+	})
+	reached := make(chan bool, 2)
+	reach := func() bool {
+		poo.Reach("m", address, func() { reached <- true })
+		select {
+		case <-reached:
+			return true
+		case <-time.After(200 * time.Millisecond):
+			return false
+		}
+	}
+	require.False(t, poo.Ended(context.Background(), "m", address))
+	require.True(t, reach())
+	_ = lis.Close()
+	_ = (<-first).Close()
+	require.True(t, poo.Ended(context.Background(), "m", address))
+	require.False(t, reach())
+}
--- a/io/conns/path.go
+++ b/io/conns/path.go
@@ -224,7 +224,8 @@
 )
 
 // Ended reports whether the server at an address refuses new connections, or closes each at
-// once, after it has closed one. It takes a few milliseconds if they are refused.
+// once, after it has closed one. It takes a few milliseconds if they are refused. Servers reset
+// connections beyond their number; one that has ended has no other connection open.
 func (poo *Pool) Ended(ctx context.Context, service, address string) bool {
 	for range endChecks {
 		con, err := poo.openConn(ctx, Request{Service: service, Address: address}, shortDialTimeout)
@@ -241,23 +242,30 @@
 		}
 		poo.discard(con)
 	}
-	return true
+	return !poo.connected(address)
 }
 
 // Reach calls fun, in the background, if a new connection to the server at an address stays
-// open.
+// open, or another one is still open then.
 func (poo *Pool) Reach(service, address string, fun func()) {
 	poo.grp.Go(func(ctx context.Context) error {
 		con, err := poo.openConn(ctx, Request{Service: service, Address: address}, shortDialTimeout)
 		if err != nil {
 			return nil
 		}
-		if poo.clk.Sleep(ctx, endCheckInterval) != nil || !con.usable() {
+		if poo.clk.Sleep(ctx, endCheckInterval) != nil {
 			poo.discard(con)
 			return nil
 		}
-		poo.putIdle(con, 0)
-		fun()
+		stays := con.usable()
+		if stays {
+			poo.putIdle(con, 0)
+		} else {
+			poo.discard(con)
+		}
+		if stays || poo.connected(address) {
+			fun()
+		}
 		return nil
 	})
 }
