A pause that a server's next start names holds

Best for callers is the code's way: a new start holds and knows nothing of before, and takes requests. But a server that starts again and asks for a pause before its entry names the new start lost that pause with the entry, and got more than the two requests that the pause allows.

The rate that a server names needs no such care: it is in each answer.

Failed before: TestPauseOfTheNextStartHolds, the second case, without the change of forget. Ruled out: comparing the time of the pause with the start that the entry names, as clocks jump.

--- a/io/edge/events.go
+++ b/io/edge/events.go
@@ -173,11 +173,12 @@
 }
 
 // forgetStart drops what an earlier start of a server said of itself or holds: its
-// pause and rate limit, results, and connections. The limit of a cold start holds
+// pause, unless it was named since that start ended, and rate limit, results, and connections. The limit of a cold start holds
 // on, since the server may be cold again.
 func (ctl *Control) forgetStart(ent stock.Entry) {
-	ctl.pauses.forget(ent.ID)
-	ctl.sched.ForgetPauses(ent.ID)
+	if ctl.pauses.forget(ent.ID) {
+		ctl.sched.ForgetPauses(ent.ID)
+	}
 	ctl.limits.limiter.Restarted(ent.ID)
 	delete(ctl.limits.sentAt, ent.ID)
 	delete(ctl.frees, ent.Address)
--- a/io/edge/paused.go
+++ b/io/edge/paused.go
@@ -16,14 +16,22 @@
 type pauses struct {
 	mu     sync.RWMutex
 	active *pause.Set[string]
+	// next are the servers whose pause was named after the start that their entry names had
+	// ended. It has those in active alone.
+	next map[string]bool
 }
 
-func newPauses() *pauses { return &pauses{active: pause.NewSet[string]()} }
+func newPauses() *pauses { return &pauses{active: pause.NewSet[string](), next: map[string]bool{}} }
 
-func (pau *pauses) add(now time.Time, one pause.Server) bool {
+// add adds a pause; next is set if the start that the server's entry names had ended before.
+func (pau *pauses) add(now time.Time, one pause.Server, next bool) bool {
 	pau.mu.Lock()
 	defer pau.mu.Unlock()
-	return pau.active.Add(now, one.ID, one.Until)
+	added := pau.active.Add(now, one.ID, one.Until)
+	if next && pau.active.Remaining(now, one.ID) > 0 {
+		pau.next[one.ID] = true
+	}
+	return added
 }
 
 func (pau *pauses) left(now time.Time, server string) time.Duration {
@@ -43,17 +51,28 @@
 	return out
 }
 
-// forget drops the pause of a server that has started again.
-func (pau *pauses) forget(server string) {
+// forget drops the pause that the earlier start of a server named. It reports whether no pause
+// is left.
+func (pau *pauses) forget(server string) bool {
 	pau.mu.Lock()
 	defer pau.mu.Unlock()
+	if pau.next[server] {
+		delete(pau.next, server)
+		return false
+	}
 	pau.active.Delete(func(id string) bool { return id == server })
+	return true
 }
 
 func (pau *pauses) sweep(now time.Time) {
 	pau.mu.Lock()
 	defer pau.mu.Unlock()
 	pau.active.Sweep(now)
+	for id := range pau.next {
+		if pau.active.Remaining(now, id) == 0 {
+			delete(pau.next, id)
+		}
+	}
 }
 
 // observeRetryAfter processes the Retry-After of a server that refused a request,
@@ -67,7 +86,7 @@
 	}
 	now := ctl.clk.Now()
 	one := pause.Server{ID: ent.ID, Until: now.Add(ans.RetryAfter)}
-	if ctl.pauses.add(now, one) {
+	if ctl.pauses.add(now, one, ctl.View().EndedStarts[ent.Start()]) {
 		ctl.post(evPaused{service: ent.Service, server: one, wait: ans.RetryAfter})
 	}
 }
--- a/io/edge/paused_test.go
+++ b/io/edge/paused_test.go
@@ -11,6 +11,7 @@
 	"lovagestream/core/call"
 	"lovagestream/core/pause"
 	"lovagestream/core/stock"
+	"lovagestream/io/follow"
 	"lovagestream/io/mesh"
 )
 
@@ -54,3 +55,27 @@
 	_, wait = ctl.Paused(list)
 	require.Positive(t, wait, "p2 leaves")
 }
+
+// A server starts again and asks for a pause before its entry names the new start. That pause must
+// hold; one that the earlier start asked for must not.
+func TestPauseOfTheNextStartHolds(t *testing.T) {
+	for name, ended := range map[string]bool{"named by the earlier start": false, "named by the next start": true} {
+		t.Run(name, func(t *testing.T) {
+			ctl, _, now := newStreamed(t)
+			ent := ctl.live[0]
+			ent.StartedAt = 7
+			ctl.at(now, evServers{list: follow.Listing{Revision: 9, Records: []stock.Record{{Revision: 9, Entry: ent}}}})
+			if ended {
+				ctl.at(now, evServerEnded{start: ent.Start()})
+			}
+			ctl.observeRetryAfter(ent, call.ResponseHead{Status: http.StatusServiceUnavailable, RetryAfter: 3 * time.Second})
+			later := ent
+			later.StartedAt = 8
+			ctl.at(now, evServers{list: follow.Listing{Revision: 10, Records: []stock.Record{{Revision: 10, Entry: later}}}})
+			require.Equal(t, ended, ctl.MaySend(ent.ID) != nil)
+			later.StartedAt = 9
+			ctl.at(now, evServers{list: follow.Listing{Revision: 11, Records: []stock.Record{{Revision: 11, Entry: later}}}})
+			require.NoError(t, ctl.MaySend(ent.ID))
+		})
+	}
+}
