Streams of plain services and large answers are passed on as they come

What callers saw: on a streaming route to a service without model servers no event came before the last one, and a stream longer than the route's time ended with 504 though its events were made; a plain answer beyond 8 MB became 502 though the request had run.

Cause: the path of plain services reads each response whole, so that a broken one may be asked for elsewhere; streams have gone the other path since models came.

Change: an event stream on a streaming route is relayed by the same code as a model's. Within an answer it goes on at another server of its version where the route allows it, otherwise it looks cut. A response that states a length beyond 8 MB is passed on too; one of unknown length beyond it stays an error, since it may have no end.

Failed before: TestPlainStreamIsPassedOn, both cases, TestLargeAnswerIsPassedOn, both cases. After: io/entry under the race detector, the scripts mixed, order, lost, gone, twice, refused and config of platform/fakes, one run each.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -154,6 +154,9 @@
 	// from the start if it takes one up. goesOn is set if an instance had that record.
 	stream resume.Record
 	goesOn bool
+	// passed is the answer of a plain service's server if it is passed on as it comes, nil if
+	// it is buffered.
+	passed *stream
 	// uncertain is set if the server of the first event started again meanwhile, so that
 	// its software isn't known.
 	uncertain bool
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -562,3 +562,87 @@
 		t.Fatal("the connection to the server was not closed")
 	}
 }
+
+// Events of a service without model servers must be passed on as they come, and a stream that
+// breaks must go on or look incomplete.
+func TestPlainStreamIsPassedOn(t *testing.T) {
+	for name, resume := range map[string]bool{"resumable": true, "not resumable": false} {
+		t.Run(name, func(t *testing.T) {
+			var runs atomic.Int64
+			seen := make(chan struct{})
+			var last atomic.Value
+			srv := newServer(t, &runs, func(wri http.ResponseWriter, req *http.Request) {
+				wri.Header().Set("Signed", "one")
+				wri.Header().Set("Content-Type", "text/event-stream")
+				if req.Header.Get("Last") != "" {
+					last.Store(req.Header.Get("Last"))
+					_, _ = io.WriteString(wri, "id: 2\ndata: b\n\n")
+					return
+				}
+				_, _ = io.WriteString(wri, "id: 1\ndata: a\n\nid: 2\nda")
+				_ = http.NewResponseController(wri).Flush()
+				select {
+				case <-seen:
+				case <-req.Context().Done():
+				}
+				panic(http.ErrAbortHandler)
+			})
+			fix := newFixture(t, &table.Route{Kind: call.Stream, Resumable: resume, MaxAttempts: 2}, plainService, srv, eventServerAt(srv))
+			req, err := http.NewRequest(http.MethodPost, fix.url+"/p/x", strings.NewReader("body"))
+			require.NoError(t, err)
+			req.Host = "h"
+			req.Header.Set("Id", "r1")
+			req.Header.Set("Key", "good")
+			res, err := (&http.Transport{DisableCompression: true}).RoundTrip(req)
+			require.NoError(t, err)
+			defer func() { _ = res.Body.Close() }()
+			buf := make([]byte, len("id: 1\ndata: a\n\n"))
+			_, err = io.ReadFull(res.Body, buf)
+			require.NoError(t, err)
+			close(seen)
+			rest, err := io.ReadAll(res.Body)
+			if !resume {
+				require.Error(t, err)
+				require.EqualValues(t, 1, runs.Load())
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, "id: 2\ndata: b\n\n", string(rest))
+			require.Equal(t, "1", last.Load())
+		})
+	}
+}
+
+// eventServerAt returns another server at the same address.
+func eventServerAt(ent stock.Entry) stock.Entry {
+	ent.ID += "-other"
+	return ent
+}
+
+// An answer that is larger than what is buffered must be passed on, and look incomplete if it is.
+func TestLargeAnswerIsPassedOn(t *testing.T) {
+	const size = 9 << 20
+	for name, whole := range map[string]bool{"whole": true, "cut": false} {
+		t.Run(name, func(t *testing.T) {
+			var runs atomic.Int64
+			srv := newServer(t, &runs, func(wri http.ResponseWriter, _ *http.Request) {
+				wri.Header().Set("Signed", "one")
+				wri.Header().Set("Content-Length", strconv.Itoa(size))
+				text := make([]byte, size)
+				if !whole {
+					text = text[:size/2]
+				}
+				_, _ = wri.Write(text)
+			})
+			got := newFixture(t, &table.Route{Kind: call.Idempotent}, plainService, srv).send(t, "/p/x")
+			require.Equal(t, http.StatusOK, got.status)
+			require.EqualValues(t, 1, runs.Load())
+			if whole {
+				require.NoError(t, got.err)
+				require.Len(t, got.body, size)
+			} else {
+				require.Error(t, got.err)
+			}
+		})
+	}
+}
--- a/io/entry/plain.go
+++ b/io/entry/plain.go
@@ -57,7 +57,8 @@
 }
 
 const (
-	// maxResponse is the maximum size of a buffered response, in bytes.
+	// maxResponse is the maximum size of a buffered response, in bytes. Larger ones are passed
+	// on as they come if they state their length.
 	maxResponse = 8 << 20
 	// defaultRetryAfter is the retry delay if no server can take a request now.
 	defaultRetryAfter = 300 * time.Millisecond
@@ -85,6 +86,11 @@
 	if divided {
 		arq.endShare(took)
 	}
+	if arq.passed != nil {
+		defer arq.passed.release()
+		arq.endStream(ctx, arq.passed, last)
+		return
+	}
 	arq.answerUnserved(ctx, last)
 }
 
@@ -133,7 +139,7 @@
 		if limited {
 			arq.reportPlacement(ctx, last)
 		}
-		if arq.answered || ctx.Err() != nil {
+		if arq.answered && !last.retryable || ctx.Err() != nil {
 			break
 		}
 		arq.srv.log.Log("send-failed", lines.Fields{"id": arq.req.ID, "server": ent.ID, "reason": last.reason, "ran": last.mayHaveRun, "error": text(last.err), "again": last.retryable})
@@ -227,7 +233,7 @@
 	took := arq.srv.clk.Now().Sub(begun)
 	arq.srv.pln.withPool(arq.service, func(pol *pick.Pool) {
 		switch {
-		case arq.answered:
+		case arq.answered && out.reason == "":
 			pol.Answered(ent, took)
 		case ctx.Err() != nil:
 			pol.CallerLeft(arq.srv.clk.Now(), ent, took)
@@ -250,7 +256,11 @@
 	repeatable := arq.rou.Kind == call.Idempotent
 	// If this instance crashes, this line is the only record of the request.
 	arq.srv.log.Log("request-sent", lines.Fields{"id": arq.req.ID, "server": ent.ID, "service": arq.service, "waited": arq.srv.clk.Now().Sub(arq.arrived).Milliseconds()})
-	rep, err := arq.sendTo(ctx, ent, arq.forwardMetadata(ent.ID))
+	ext := arq.forwardMetadata(ent.ID)
+	if arq.passed != nil {
+		ext.LastEventID = arq.passed.events.LastID()
+	}
+	rep, err := arq.sendTo(ctx, ent, ext)
 	if out, ok := notSent(err); ok {
 		return out
 	}
@@ -269,12 +279,23 @@
 		rep.Discard()
 		return out
 	}
+	if arq.answered && rep.ResponseHead.Status != http.StatusOK {
+		rep.Discard()
+		return outcome{mayHaveRun: true, reason: "resume-failed"}
+	}
 	if rep.ResponseHead.Status >= http.StatusInternalServerError && repeatable && arq.attempts < arq.rou.MaxAttempts && arq.deadline.Sub(arq.srv.clk.Now()) > arq.rou.LatencyTarget/2 {
 		if arq.mayRetry() {
 			rep.Discard()
 			return outcome{retryable: true, mayHaveRun: true, reason: "server-error"}
 		}
 	}
+	if arq.rou.Kind == call.Stream && rep.ResponseHead.EventStream || rep.Length > maxResponse {
+		if arq.passed == nil {
+			arq.passed = &stream{arq: arq}
+		}
+		out, _ := arq.passed.relay(ctx, ent, rep)
+		return out
+	}
 	body, err := rep.Buffer(maxResponse)
 	if err != nil {
 		return brokenBody(err, repeatable)
