A lost zone is no crash of its servers on the pipelines' own path

Hypotheses: a server ended; evidence of another request was used; the path is taken for crashes. No server ended, and the eight bodies differ. The partition closes connections and each new one at once, which the probe calls a crash, and a request that meets three pools of the zone as the partition begins has three.

Change: a server has crashed only if one of two others of its zone, not known to have crashed, those of other pools first, hasn't.

--- a/core/backend.go
+++ b/core/backend.go
@@ -26,6 +26,11 @@
 	state  ServerState
 }
 
+// NewServerView returns a view of a server in a state.
+func NewServerView(srv *route.Server, state ServerState) ServerView {
+	return ServerView{server: srv, state: state}
+}
+
 // Server returns the server with its counters.
 func (srv ServerView) Server() *route.Server { return srv.server }
 
@@ -47,7 +52,7 @@
 		case got.srv.Leaving():
 			state = ServerLeavingByNotice
 		}
-		vie.backends = append(vie.backends, ServerView{server: got.srv, state: state})
+		vie.backends = append(vie.backends, NewServerView(got.srv, state))
 	}
 	sort.Slice(vie.backends, func(i, j int) bool {
 		one, two := vie.backends[i].server, vie.backends[j].server
--- a/io/probe/probe.go
+++ b/io/probe/probe.go
@@ -4,7 +4,8 @@
 // One broken connection is no evidence against the server, as the network between
 // may have failed. A server counts as crashed only if it refuses a new connection
 // right after, or closes several new ones at once, as a proxy in front of a crashed
-// server does.
+// server does, and if others of its availability zone don't do the same: then the
+// path to the zone is lost.
 package probe
 
 import (
@@ -29,6 +30,8 @@
 	attemptInterval = 20 * time.Millisecond
 	dialTimeout     = 200 * time.Millisecond
 	postTimeout     = time.Second
+	// maxNeighbors is the number of other servers of a zone that are checked.
+	maxNeighbors = 2
 )
 
 // Dial opens a connection, like net.Dialer's DialContext.
@@ -59,9 +62,9 @@
 // If the server crashed, it posts the crash to the control thread and returns it. fpr
 // is the fingerprint of the request in flight, sent the time when its call began: a
 // connection that was left from before an earlier crash tells nothing of the request.
-// The check of a crashed server takes a few milliseconds.
+// The check of a crashed server takes some twenty milliseconds.
 func (prb *Prober) CheckCrash(ctx context.Context, srv *route.Server, fpr marks.Fingerprint, sent time.Time) (marks.Crash, bool) {
-	if !prb.crashed(ctx, srv.Address()) {
+	if !prb.crashed(ctx, srv.Address()) || prb.pathLost(ctx, neighbors(srv, prb.pst.View().Backends(), prb.CrashTable())) {
 		return marks.Crash{}, false
 	}
 	pctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), postTimeout)
@@ -103,6 +106,37 @@
 	return true
 }
 
+// neighbors returns the addresses of other servers of a server's zone that aren't known to have
+// crashed, those of other pools first: what crashes servers of one pool may not run at them.
+func neighbors(srv *route.Server, all []core.ServerView, tab *marks.Table) []string {
+	known := map[string]bool{}
+	for _, cra := range tab.Crashed() {
+		known[cra.Server()] = true
+	}
+	var others, same []string
+	for _, one := range all {
+		switch oth := one.Server(); {
+		case oth.Zone() != srv.Zone() || oth.ID() == srv.ID() || known[oth.ID()]:
+		case oth.Pool() != srv.Pool():
+			others = append(others, oth.Address())
+		default:
+			same = append(same, oth.Address())
+		}
+	}
+	list := append(others, same...)
+	return list[:min(maxNeighbors, len(list))]
+}
+
+// pathLost reports whether there are servers at these addresses, and all seem to have crashed.
+func (prb *Prober) pathLost(ctx context.Context, addresses []string) bool {
+	for _, adr := range addresses {
+		if !prb.crashed(ctx, adr) {
+			return false
+		}
+	}
+	return len(addresses) > 0
+}
+
 // closedByServer reports whether the server closes a new connection before any
 // request is sent. A live server waits for a request.
 func (prb *Prober) closedByServer(conn net.Conn) bool {
