A planned exit is no crash on the pipelines' own path

The platform's path doesn't count the exit of a server that leaves against the request on it since; the pipelines' own path asked whether such a server still takes connections, and counted its exit. Callers who send the same request would be refused for a while once three servers had exited as planned under it.

Change: a server that leaves isn't asked.

--- a/io/probe/probe.go
+++ b/io/probe/probe.go
@@ -59,12 +59,13 @@
 func (prb *Prober) CrashTable() *marks.Table { return prb.pst.View().Marks() }
 
 // CheckCrash checks a server after a call's connection to it broke before the reply.
-// If the server crashed, it posts the crash to the control thread and returns it. fpr
+// One that leaves exits at some time, with what is still in flight. If the server
+// crashed, it posts the crash to the control thread and returns it. fpr
 // is the fingerprint of the request in flight, sent the time when its call began: a
 // connection that was left from before an earlier crash tells nothing of the request.
 // The check of a crashed server takes some twenty milliseconds.
 func (prb *Prober) CheckCrash(ctx context.Context, srv *route.Server, fpr marks.Fingerprint, sent time.Time) (marks.Crash, bool) {
-	if !prb.crashed(ctx, srv.Address()) || prb.pathLost(ctx, neighbors(srv, prb.pst.View().Backends(), prb.CrashTable())) {
+	if srv.Leaving() || !prb.crashed(ctx, srv.Address()) || prb.pathLost(ctx, neighbors(srv, prb.pst.View().Backends(), prb.CrashTable())) {
 		return marks.Crash{}, false
 	}
 	pctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), postTimeout)
--- a/io/probe/probe_test.go
+++ b/io/probe/probe_test.go
@@ -59,3 +59,28 @@
 		})
 	}
 }
+
+// posts counts the events of a control thread that knows nothing.
+type posts struct{ num int }
+
+func (pst *posts) View() *core.View { return &core.View{} }
+
+func (pst *posts) Post(context.Context, core.Event) error {
+	pst.num++
+	return nil
+}
+
+// A server that leaves exits with a request in flight. The request must not be taken for the cause.
+func TestPlannedExitIsNoCrash(t *testing.T) {
+	for name, leaving := range map[string]bool{"leaves": true, "crashes": false} {
+		t.Run(name, func(t *testing.T) {
+			srv, pst := route.NewServer("m1", "m1:1", "z", "model"), &posts{}
+			if leaving {
+				srv.MarkLeaving()
+			}
+			_, crashed := New(dialTo(t), pst, clock.System{}).CheckCrash(context.Background(), srv, 1, time.Unix(1000, 0))
+			require.Equal(t, !leaving, crashed)
+			require.Equal(t, !leaving, pst.num == 1)
+		})
+	}
+}
