A resumed instance reads the store at once

What callers saw, in a test of ours: all instances are suspended for 2.5 s while a release begins; 1.1 s after they go on one of three refuses the streams that are taken up there, 503 unverified-after-pause, 8 of 24 in the run with logs, though their records and a server of their version are there.

Cause: the request to read everything again, made as the process resumes, was compared before and after each call. One that came while the reader waited between two calls was lost; it went on watching, and the instance refused callers until a peer sent what it knew, 1.2 s in the run with logs, three seconds at most. Evidence: store-back within 1 ms of resumed-after-pause, verified 1.2 s later, at the others after 3 ms and 0.2 s.

Change: the reader keeps the number of requests that it has acted on, and a request ends a wait.

Failed before: TestRestartEndsTheWaitBetweenCalls, both cases, one run; "all suspended during a release", four plays of five. After: io/follow three runs under the race detector, the case five plays of five.

TestStreamsKeepTheirVersion has five cases more: one and all suspended during a release, one and all cut from the store, one cut from the store and another killed. Five plays each before this change but for the case above: none joined, and all go on that must.

--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -130,7 +130,8 @@
 	seed uint64
 
 	mu sync.Mutex
-	// restarts counts calls of Restart; cancels end the calls in progress.
+	// restarts counts calls of Restart; cancels end the calls in progress and the waits
+	// between them.
 	restarts int
 	cancels  map[string]context.CancelFunc
 }
@@ -148,7 +149,7 @@
 	return &Reader{src: src, snk: snk, clk: clk, log: log, duty: duty, seed: seed, cancels: map[string]context.CancelFunc{}}
 }
 
-// Restart cancels the calls in progress and reads everything again. An answer
+// Restart cancels the calls in progress, or ends the waits, and reads everything again. An answer
 // that is already on its way may be older than a pause of the process.
 func (rdr *Reader) Restart() {
 	rdr.mu.Lock()
@@ -160,19 +161,23 @@
 	rdr.src.Reset()
 }
 
-// trackCall stores the cancel function of a call and returns the current count of
-// restarts.
-func (rdr *Reader) trackCall(what string, cancel context.CancelFunc) int {
+// track stores the cancel function of a call or of a wait. If the reader was restarted since the
+// last one, everything is to be read, and track reports that.
+func (rdr *Reader) track(fst *followState, cancel context.CancelFunc) bool {
 	rdr.mu.Lock()
 	defer rdr.mu.Unlock()
-	rdr.cancels[what] = cancel
-	return rdr.restarts
+	rdr.cancels[fst.what] = cancel
+	if fst.restarts == rdr.restarts {
+		return false
+	}
+	fst.restarts, fst.after = rdr.restarts, 0
+	return true
 }
 
-func (rdr *Reader) restarted(restarts int) bool {
+func (rdr *Reader) restarted(fst *followState) bool {
 	rdr.mu.Lock()
 	defer rdr.mu.Unlock()
-	return rdr.restarts != restarts
+	return rdr.restarts != fst.restarts
 }
 
 // readResult is the result of one call.
@@ -280,6 +285,8 @@
 	what string
 	// after is the revision to continue from; 0 reads everything.
 	after stock.Revision
+	// restarts is the number of the reader's restarts that are known.
+	restarts int
 	// firstReadDone is set once the delay after the first read has begun,
 	// initialDelayDone once the delay before the first call of many readers has.
 	firstReadDone    bool
@@ -294,19 +301,28 @@
 		duty := rdr.duty()
 		wait, may := fst.mayRead(duty)
 		if may {
-			got, restarts, err := rdr.readOnce(ctx, fst, do)
+			got, err := rdr.readOnce(ctx, fst, do)
 			if ctx.Err() != nil {
 				return nil
 			}
-			wait = rdr.afterRead(fst, duty, got, restarts, err)
+			wait = rdr.afterRead(fst, duty, got, err)
 		}
 		if wait > 0 {
-			_ = rdr.clk.Sleep(ctx, wait)
+			rdr.sleep(ctx, fst, wait)
 		}
 	}
 	return nil
 }
 
+// sleep waits for a time, or until a restart.
+func (rdr *Reader) sleep(ctx context.Context, fst *followState, wait time.Duration) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if !rdr.track(fst, cancel) {
+		_ = rdr.clk.Sleep(ctx, wait)
+	}
+}
+
 // mayRead reports whether to make a call now, and otherwise how long to wait.
 func (fst *followState) mayRead(duty Duty) (time.Duration, bool) {
 	switch {
@@ -322,10 +338,9 @@
 
 // afterRead handles the end of a call and returns how long to wait before the
 // next.
-func (rdr *Reader) afterRead(fst *followState, duty Duty, got readResult, restarts int, err error) time.Duration {
+func (rdr *Reader) afterRead(fst *followState, duty Duty, got readResult, err error) time.Duration {
 	switch {
-	case rdr.restarted(restarts):
-		fst.after = 0
+	case rdr.restarted(fst):
 		return 0
 	case errors.Is(err, ErrHistoryGone):
 		rdr.log.Log("store-history-gone", lines.Fields{"what": fst.what, "after": fst.after, "error": err.Error()})
@@ -358,16 +373,15 @@
 	return got.delay
 }
 
-func (rdr *Reader) readOnce(ctx context.Context, fst *followState, do readFunc) (readResult, int, error) {
+func (rdr *Reader) readOnce(ctx context.Context, fst *followState, do readFunc) (readResult, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	rdr.track(fst, cancel)
 	limit := readTimeout
 	if fst.after > 0 {
 		limit = watchWait + watchSlack
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	dog := rdr.clk.StartWatchdog(limit, cancel)
 	defer dog.Stop()
-	restarts := rdr.trackCall(fst.what, cancel)
-	got, err := do(ctx, fst.after)
-	return got, restarts, err
+	return do(ctx, fst.after)
 }
--- a/io/follow/reads_test.go
+++ b/io/follow/reads_test.go
@@ -177,3 +177,41 @@
 	grp.Stop()
 	require.EqualValues(t, 2, reg.calls.Load())
 }
+
+// fullReads counts the full reads of the server list.
+type fullReads struct {
+	revisionSink
+	num atomic.Int64
+}
+
+func (ful *fullReads) Servers(_ Listing, full bool) {
+	if full {
+		ful.num.Add(1)
+	}
+}
+
+// A process resumes from a pause while its reader waits between two calls. The reader must read
+// everything at once: until it has, the instance refuses callers.
+func TestRestartEndsTheWaitBetweenCalls(t *testing.T) {
+	for name, period := range map[string]time.Duration{"after the first read": time.Hour, "after changes": 10 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			reg, snk := &registeringStore{period: period, begun: time.Now()}, &fullReads{}
+			rdr := New(reg, snk, clock.System{}, lines.New(&bytes.Buffer{}, clock.System{}), func() Duty { return Duty{Reads: true, Readers: 1} }, 1)
+			grp := group.New(context.Background())
+			defer grp.Stop()
+			grp.Go(rdr.FollowServers)
+			wait := firstReadDelay / 4
+			if period < time.Hour {
+				wait = firstReadDelay + 2*coalesceDelay
+			}
+			time.Sleep(wait)
+			for num := range 5 {
+				require.EqualValues(t, 1+num, snk.num.Load())
+				rdr.Restart()
+				time.Sleep(coalesceDelay / 2)
+				require.EqualValues(t, 2+num, snk.num.Load())
+			}
+		})
+	}
+}
--- a/test/streams_test.go
+++ b/test/streams_test.go
@@ -33,6 +33,8 @@
 	// released is set if the servers of the first version end, and half released if only one
 	// of three does.
 	released, halfReleased bool
+	// denied are the instances that the store turns away from before the release on.
+	denied []int
 	// disturb breaks the streams off, and returns once the instances are back.
 	disturb func(t *testing.T, flt *fleet)
 	// goOn is set if the streams must go on.
@@ -61,23 +63,31 @@
 			flt.waitReady(t)
 		}
 	}
-	suspend := func(_ *testing.T, flt *fleet) {
-		for _, prc := range flt.processes {
-			prc.Pause()
-		}
-		_ = flt.clk.Sleep(flt.grp.Context(), 2500*time.Millisecond)
-		for _, prc := range flt.processes {
-			prc.Resume()
+	suspend := func(nums ...int) func(*testing.T, *fleet) {
+		return func(_ *testing.T, flt *fleet) {
+			for _, num := range nums {
+				flt.processes[num].Pause()
+			}
+			_ = flt.clk.Sleep(flt.grp.Context(), 2500*time.Millisecond)
+			for _, num := range nums {
+				flt.processes[num].Resume()
+			}
 		}
 	}
+	nothing := func(*testing.T, *fleet) {}
 	for name, tst := range map[string]streamCase{
 		"all killed, not named":                      {unnamed: true, released: true, disturb: kill(0, 1, 2)},
 		"all killed, named, a shorter timeout":       {routeTimeout: time.Second, released: true, disturb: kill(0, 1, 2)},
 		"one killed, not named":                      {unnamed: true, released: true, disturb: kill(0)},
-		"all suspended, not named":                   {unnamed: true, released: true, disturb: suspend},
-		"all suspended, named, a shorter timeout":    {routeTimeout: time.Second, released: true, disturb: suspend},
+		"all suspended, not named":                   {unnamed: true, released: true, disturb: suspend(0, 1, 2)},
+		"all suspended, named, a shorter timeout":    {routeTimeout: time.Second, released: true, disturb: suspend(0, 1, 2)},
 		"one killed during a release":                {halfReleased: true, disturb: kill(0), goOn: true},
 		"two killed during a release, not named":     {halfReleased: true, unnamed: true, disturb: kill(0, 1), goOn: true},
+		"one suspended during a release, not named":  {halfReleased: true, unnamed: true, disturb: suspend(0), goOn: true},
+		"all suspended during a release":             {halfReleased: true, disturb: suspend(0, 1, 2), goOn: true},
+		"all cut from the store, not named":          {released: true, unnamed: true, denied: []int{0, 1, 2}, disturb: nothing},
+		"one cut from the store during a release":    {halfReleased: true, denied: []int{0}, disturb: nothing, goOn: true},
+		"one cut from the store, another killed":     {released: true, unnamed: true, denied: []int{0}, disturb: kill(1)},
 		"one killed, one version alone, not named":   {unnamed: true, disturb: kill(0), goOn: true},
 		"two killed, one version alone, a long time": {routeTimeout: 20 * time.Second, disturb: kill(0, 1), goOn: true},
 	} {
@@ -108,6 +118,9 @@
 		return nil
 	})
 	require.NoError(t, flt.clk.Sleep(ctx, eventGap*3/2))
+	for _, num := range tst.denied {
+		flt.sto.Deny(flt.instances[num].IP, true)
+	}
 	old := flt.servers
 	if tst.released || tst.halfReleased {
 		for num := range 3 {
