The soak draws servers that start again in place

A server ends, is back 0.2 to 1.2 s later at its address and under its ID with the next version, and its entry says so 1 to 3 s after the end. Streams that join its events to another version's count as ORDER, without the excuse that server-reborn has.

--- a/stand/field/fault.go
+++ b/stand/field/fault.go
@@ -41,6 +41,7 @@
 	{"all-killed", false, (*injector).killAll},
 	{"server-crashed", false, (*injector).crashServer},
 	{"server-reborn", false, (*injector).restartServer},
+	{"server-started-again", false, (*injector).startServerAgain},
 	{"all-released", false, (*injector).releaseAll},
 	{"server-left", true, (*injector).leaveServer},
 	{"server-announced", true, (*injector).announceLeaving},
--- a/stand/field/field.go
+++ b/stand/field/field.go
@@ -235,6 +235,12 @@
 
 // drawVersion sets the version of a server's software; mostly two are in use side by side.
 func (clu *Cluster) drawVersion(fake *fakes.Server) {
+	fake.SetVersion(clu.nextVersion())
+	fake.TagEvents()
+}
+
+// nextVersion returns the version of the software of the next server that starts.
+func (clu *Cluster) nextVersion() string {
 	clu.mu.Lock()
 	defer clu.mu.Unlock()
 	clu.versionsDrawn++
@@ -242,8 +248,7 @@
 	if !clu.oneVersion {
 		version += clu.versionsDrawn % 2
 	}
-	fake.SetVersion(fmt.Sprint("v", version))
-	fake.TagEvents()
+	return fmt.Sprint("v", version)
 }
 
 // putEntry writes a server's entry to the store.
--- a/stand/field/servers.go
+++ b/stand/field/servers.go
@@ -88,6 +88,23 @@
 	})
 }
 
+// startServerAgain ends a server and starts it again in place, with other software. Its entry says
+// so a second later. Who observes it must have seen the end.
+func (inj *injector) startServerAgain(ctx context.Context) error {
+	return inj.injectIntoServer("server-started-again", false, func(ser *server) error {
+		version := inj.cluster.nextVersion()
+		if version == ser.fake.Version() {
+			version = inj.cluster.nextVersion()
+		}
+		born := time.Now()
+		ser.fake.StartAgain(200*time.Millisecond+inj.drawDuration()/4, version)
+		sleep(ctx, time.Second+inj.drawDuration()/2)
+		ser.fake.SetEntryAddress(ser.link.Address(), born)
+		inj.cluster.putEntry(ser, "ready")
+		return nil
+	})
+}
+
 // releaseAll replaces the model servers by servers of one or two later versions. Half of the time all
 // instances are killed meanwhile, so that none has seen the earlier versions.
 func (inj *injector) releaseAll(ctx context.Context) error {
