--- a/io/conns/early_test.go
+++ b/io/conns/early_test.go
@@ -16,41 +16,29 @@
 	"lovagestream/io/group"
 )
 
-// earlyAnswers returns the address of a server that answers before it has read a request's body,
-// keeps the connection, and reads on. It sends the first line of each request to lines, also of
-// what it takes for one.
+// earlyAnswers returns the address of a server that answers before it has read a request's body, and
+// reads on. It sends the first line of what it takes for a request to lines.
 func earlyAnswers(t *testing.T, lines chan<- string) string {
 	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
 	grp := group.New(context.Background())
-	t.Cleanup(func() {
-		_ = lis.Close()
-		grp.Stop()
-	})
-	grp.Go(func(context.Context) error {
-		for {
-			con, err := lis.Accept()
-			if err != nil {
-				return nil
-			}
-			grp.Go(func(context.Context) error {
-				defer func() { _ = con.Close() }()
-				rdr := bufio.NewReader(con)
-				for {
-					req, err := http.ReadRequest(rdr)
-					if err != nil {
-						return nil
-					}
-					lines <- req.Method + " " + req.RequestURI
-					_, _ = io.WriteString(con, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
-					time.Sleep(100 * time.Millisecond)
-					if _, err := io.Copy(io.Discard, req.Body); err != nil {
-						return nil
-					}
+	t.Cleanup(grp.Stop)
+	lis, _ := listen(t, grp, func(con net.Conn) {
+		grp.Go(func(context.Context) error {
+			defer func() { _ = con.Close() }()
+			rdr := bufio.NewReader(con)
+			for {
+				req, err := http.ReadRequest(rdr)
+				if err != nil {
+					return nil
 				}
-			})
-		}
+				lines <- req.Method + " " + req.RequestURI
+				_, _ = io.WriteString(con, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+				time.Sleep(100 * time.Millisecond)
+				if _, err := io.Copy(io.Discard, req.Body); err != nil {
+					return nil
+				}
+			}
+		})
 	})
 	return lis.Addr().String()
 }
--- a/io/conns/observe_test.go
+++ b/io/conns/observe_test.go
@@ -13,6 +13,27 @@
 	"lovagestream/io/group"
 )
 
+// listen returns a listener whose connections are handled until it is closed, and a channel that is
+// closed then.
+func listen(t *testing.T, grp *group.Group, handle func(con net.Conn)) (net.Listener, <-chan struct{}) {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = lis.Close() })
+	closed := make(chan struct{})
+	grp.Go(func(context.Context) error {
+		defer close(closed)
+		for {
+			con, err := lis.Accept()
+			if err != nil {
+				return nil
+			}
+			handle(con)
+		}
+	})
+	return lis, closed
+}
+
 // A server without requests ends. Its end must be seen at once, and only if new connections are
 // refused, or closed by a proxy: servers close idle connections, and reset those beyond their number.
 func TestObserverSeesEnds(t *testing.T) {
@@ -26,25 +47,16 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			lis, err := net.Listen("tcp", "127.0.0.1:0")
-			require.NoError(t, err)
-			defer func() { _ = lis.Close() }()
-			var closes atomic.Bool
-			accepted := make(chan net.Conn, 16)
 			grp := group.New(context.Background())
 			defer grp.Stop()
-			grp.Go(func(context.Context) error {
-				for {
-					con, err := lis.Accept()
-					if err != nil {
-						return nil
-					}
-					if closes.Load() {
-						_ = con.Close()
-						continue
-					}
-					accepted <- con
+			var closes atomic.Bool
+			accepted := make(chan net.Conn, 16)
+			lis, _ := listen(t, grp, func(con net.Conn) {
+				if closes.Load() {
+					_ = con.Close()
+					return
 				}
+				accepted <- con
 			})
 			poo := NewPool(clock.System{}, grp, nil)
 			ended := make(chan string, 16)
@@ -59,6 +71,9 @@
 				_ = lis.Close()
 			}
 			_ = con.Close()
+			if !tst.ended {
+				_ = (<-accepted).Close()
+			}
 			select {
 			case start := <-ended:
 				require.Equal(t, obd.Start, start)
@@ -74,20 +89,9 @@
 
 // A server that closes each connection at once must not be asked without a pause.
 func TestObserverPausesBetweenConnections(t *testing.T) {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = lis.Close() }()
 	grp := group.New(context.Background())
 	defer grp.Stop()
-	grp.Go(func(context.Context) error {
-		for {
-			con, err := lis.Accept()
-			if err != nil {
-				return nil
-			}
-			_ = con.Close()
-		}
-	})
+	lis, _ := listen(t, grp, func(con net.Conn) { _ = con.Close() })
 	poo := NewPool(clock.System{}, grp, nil)
 	NewObserver(poo, func(string) { t.Error("the server has not ended") }).Observe([]Observed{{Start: "m1/7", Address: lis.Addr().String()}})
 	time.Sleep(observeInterval * 3 / 2)
@@ -97,25 +101,15 @@
 // A server resets connections beyond its number. It must not be taken for ended by an instance
 // that has another connection to it open, and must count as reached.
 func TestServerThatResetsConnectionsHasNotEnded(t *testing.T) {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = lis.Close() }()
 	grp := group.New(context.Background())
 	defer grp.Stop()
-	first, closed := make(chan net.Conn, 1), make(chan struct{})
-	grp.Go(func(context.Context) error {
-		defer close(closed)
-		for {
-			con, err := lis.Accept()
-			if err != nil {
-				return nil
-			}
-			select {
-			case first <- con:
-			default:
-				_ = con.(*net.TCPConn).SetLinger(0)
-				_ = con.Close()
-			}
+	first := make(chan net.Conn, 1)
+	lis, closed := listen(t, grp, func(con net.Conn) {
+		select {
+		case first <- con:
+		default:
+			_ = con.(*net.TCPConn).SetLinger(0)
+			_ = con.Close()
 		}
 	})
 	poo := NewPool(clock.System{}, grp, nil)
