A body that ends with its connection is whole only if the request was written

What callers saw: a server answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection. The caller got the part as a complete answer (plain answers, and streams cut between two events).

Cause: a request is written by a goroutine of its own while its response is read, and a socket tells its error once. The writer was told of the reset (ECONNRESET), so that the reader got the end of the file, which ends a body without a length or chunks. Nobody compared the two.

Now the end of such a body waits until the request is written, and is an error if that failed. Answers with a length or a last chunk are whole by their framing, as before (TestEarlyAnswerEndsItsConnection). Relays read servers by the same code.

Ruled out: that a part was lost on the reader's side. Uploads that fit the sockets' buffers (3 MiB here) leave the error to the reader, and those were refused before.

--- a/io/conns/exchange.go
+++ b/io/conns/exchange.go
@@ -81,11 +81,12 @@
 	res    *http.Response
 	req    *http.Request
 	// single is set if the connection is not used again.
-	single         bool
-	stopCloser     func() bool
-	wrote          chan struct{}
-	requestWritten bool
-	bodyRead       bool
+	single     bool
+	stopCloser func() bool
+	// wrote is closed once the request is written or writeErr is set.
+	wrote    chan struct{}
+	writeErr error
+	bodyRead bool
 	// discarded is set once the rest of the body is read in the background.
 	discarded bool
 	server    reach.Server
@@ -127,7 +128,7 @@
 	rep.stopCloser = context.AfterFunc(ctx, func() { _ = con.Close() })
 	poo.grp.Go(func(context.Context) error {
 		defer close(rep.wrote)
-		rep.requestWritten = req.write(con) == nil
+		rep.writeErr = req.write(con)
 		return nil
 	})
 	wat := poo.watchResponse(req, con)
@@ -246,8 +247,8 @@
 	return rep.Length < 0 && (rep.Framing == call.CloseFraming || rep.Framing == call.UnknownFraming)
 }
 
-// Read reads the body. io.EOF means that the body is complete, as far as its framing
-// or its events show; a stream that ends inside an event is not.
+// Read reads the body. io.EOF means that the body is complete, as far as its framing, its
+// connection or its events show; a stream that ends inside an event is not.
 func (rep *Reply) Read(buf []byte) (int, error) {
 	num, err := rep.readBody(buf)
 	if rep.events == nil {
@@ -269,9 +270,15 @@
 		rep.heardAt = now
 		rep.poo.paths.heard(now, rep.server)
 	}
-	if errors.Is(err, io.EOF) {
-		rep.bodyRead = true
+	if !errors.Is(err, io.EOF) {
+		return num, err
+	}
+	if rep.Framing == call.CloseFraming && rep.res.Body != http.NoBody {
+		if cerr := rep.confirmEnd(); cerr != nil {
+			return num, cerr
+		}
 	}
+	rep.bodyRead = true
 	return num, err
 }
 
@@ -325,5 +332,5 @@
 	default:
 		return false
 	}
-	return rep.requestWritten && rep.con.rdr.Buffered() == 0
+	return rep.writeErr == nil && rep.con.rdr.Buffered() == 0
 }
