A body that ends with its connection is whole only if the connection wasn't reset

What callers would see: the part of an answer that came before a reset as a complete answer, in two more cases than the one reported. Found while its class was sought.

Cause, the same: a socket tells its error once. (1) `connected`, which looks at all open connections to a server for whether one is still open, peeks at them while their bodies are being read. Peeking takes the error too, so that the reader of the body gets the end of the file. It runs after any lost connection to that server, which is when resets come. (2) A request that fits the sockets' buffers counts as written though the server never received it: a server that ends its side at once, as the system does for a process that crashes, and reads nothing, looks as if it had answered the whole request.

Ruled out: making `connected` look without taking the error. poll(2) would do, but the writer would take it all the same, and a third reader may come.

--- a/io/conns/reset_test.go
+++ b/io/conns/reset_test.go
@@ -73,17 +73,22 @@
 		stream bool
 		end    func(con *net.TCPConn, rest io.Reader)
 		whole  bool
+		// silent is set if the connection's state can't be read.
+		silent bool
 	}{
-		{"reset during the upload", 4<<20 - 1000, false, reset, false},
-		{"reset between two events", 4<<20 - 1000, true, reset, false},
-		{"reset, upload in the sockets' buffers", 3 << 20, false, reset, false},
-		{"reset of a long upload", 32 << 20, false, reset, false},
-		{"reset without an upload", 0, false, reset, false},
-		{"closed with the upload unread", 4<<20 - 1000, true, closeUnread, false},
-		{"ended, upload never read", 4<<20 - 1000, false, readNothing, false},
-		{"ended, upload read later", 4<<20 - 1000, false, readOn, true},
-		{"ended, long upload of a stream read later", 32 << 20, true, readOn, true},
-		{"ended, no upload", 0, false, readNothing, true},
+		{"reset during the upload", 4<<20 - 1000, false, reset, false, false},
+		{"reset between two events", 4<<20 - 1000, true, reset, false, false},
+		{"reset, upload in the sockets' buffers", 3 << 20, false, reset, false, false},
+		{"reset of a long upload", 32 << 20, false, reset, false, false},
+		{"reset without an upload", 0, false, reset, false, false},
+		{"closed with the upload unread", 4<<20 - 1000, true, closeUnread, false, false},
+		{"ended, upload never read", 4<<20 - 1000, false, readNothing, false, false},
+		{"ended, upload never read and in the sockets' buffers", 3 << 20, true, readNothing, false, false},
+		{"ended, upload read later", 4<<20 - 1000, false, readOn, true, false},
+		{"ended, long upload of a stream read later", 32 << 20, true, readOn, true, false},
+		{"ended, no upload", 0, false, readNothing, true, false},
+		{"reset during the upload, state unknown", 4<<20 - 1000, false, reset, false, true},
+		{"ended, upload read later, state unknown", 4<<20 - 1000, false, readOn, true, true},
 	} {
 		t.Run(tst.name, func(t *testing.T) {
 			t.Parallel()
@@ -95,6 +100,9 @@
 			grp := group.New(context.Background())
 			defer grp.Stop()
 			poo := NewPool(clock.System{}, grp, nil)
+			if tst.silent {
+				poo, _ = newCountedPool()
+			}
 			head := func(status int, _ http.Header) call.ResponseHead {
 				return call.ResponseHead{Status: status, EventStream: tst.stream}
 			}
@@ -115,3 +123,29 @@
 		})
 	}
 }
+
+// A look at whether connections are open must not take the reset of one whose body is being read.
+func TestResetIsLeftToTheReaderOfTheBody(t *testing.T) {
+	resets := make(chan struct{})
+	ended := make(chan struct{})
+	address := answerEarly(t, closeHead+"a part", func(con *net.TCPConn, _ io.Reader) {
+		<-resets
+		reset(con, nil)
+		close(ended)
+	})
+	grp := group.New(context.Background())
+	defer grp.Stop()
+	poo := NewPool(clock.System{}, grp, nil)
+	rep, err := poo.Do(context.Background(), Request{Address: address, Method: http.MethodGet, Target: "/", Host: "h"}, "", headWithID)
+	require.NoError(t, err)
+	defer rep.Close()
+	got := make([]byte, len("a part"))
+	_, err = io.ReadFull(rep, got)
+	require.NoError(t, err)
+	close(resets)
+	<-ended
+	require.Eventually(t, func() bool { return !poo.connected(address) }, testWait, testPoll)
+	_, err = rep.Read(got)
+	require.Error(t, err)
+	require.NotErrorIs(t, err, io.EOF)
+}
