Tests of servers that refuse connections keep the port

Seen: TestLostPathIsNoFailureOfEngines failed once in a run of all packages, 502 where 503 is due. It closes a listener and takes its port for one that refuses. Another listener may get that port: the test's own next server, or one of a package that runs beside it.

The checks are the same. Two other tests choose ports so (io/mesh, io/runner) and open no listener in between; left as they are.

--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"lovagestream/core/call"
 	"lovagestream/core/marks"
@@ -269,6 +270,19 @@
 	require.EqualValues(t, 1, runs.Load())
 }
 
+// refusingAddress returns an address that refuses connections. Its port is taken, so that no other
+// listener gets it.
+func refusingAddress(t *testing.T) string {
+	t.Helper()
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = unix.Close(fd) })
+	require.NoError(t, unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	adr, err := unix.Getsockname(fd)
+	require.NoError(t, err)
+	return net.JoinHostPort("127.0.0.1", strconv.Itoa(adr.(*unix.SockaddrInet4).Port))
+}
+
 // Sends that reach no server must not use up the retries that a request needs to reach one
 // that serves.
 func TestUnsentRequestsSpendNoRetries(t *testing.T) {
@@ -276,10 +290,7 @@
 		t.Run(name, func(t *testing.T) {
 			var runs atomic.Int64
 			gone, other := newServer(t, &runs, nil), newServer(t, &runs, signedResponse)
-			lis, err := net.Listen("tcp", "127.0.0.1:0")
-			require.NoError(t, err)
-			gone.Address = lis.Addr().String()
-			require.NoError(t, lis.Close())
+			gone.Address = refusingAddress(t)
 			other.Zone = "other"
 			fix := newFixture(t, &table.Route{Kind: call.AtMostOnce}, svc, gone, other)
 			fix.updateView(func(viw *entry.View) { viw.Retries = entry.RetryLimits{Window: 10 * time.Second} })
@@ -329,11 +340,8 @@
 	var runs atomic.Int64
 	var engines []stock.Entry
 	for range 4 {
-		lis, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		require.NoError(t, lis.Close())
 		ent := newServer(t, &runs, nil)
-		ent.Address = lis.Addr().String()
+		ent.Address = refusingAddress(t)
 		engines = append(engines, ent)
 	}
 	fix := newFixture(t, &table.Route{Kind: call.AtMostOnce}, modelService, engines...)
