--- a/io/conns/conns_test.go
+++ b/io/conns/conns_test.go
@@ -178,3 +178,25 @@
 		require.Equal(t, want, err)
 	}
 }
+
+// A relay of an earlier version passes on heads that are none by the rules of HTTP.
+func TestMalformedHeadsOfARelayAreRefused(t *testing.T) {
+	for name, res := range map[string]RelayedResponse{
+		"sound":  {Status: http.StatusOK, Header: http.Header{"Id": {"mine"}}},
+		"status": {Status: 999, Header: http.Header{"Id": {"mine"}}},
+		"name":   {Status: http.StatusOK, Header: http.Header{"Id": {"mine"}, "X Odd": {"1"}}},
+		"value":  {Status: http.StatusOK, Header: http.Header{"Id": {"mine"}, "X-Odd": {"a\x00"}}},
+	} {
+		poo := NewPool(clock.System{}, group.New(context.Background()), nil)
+		poo.DialWith(func(context.Context, string, string) (net.Conn, error) { return nil, errors.New("no path") })
+		res.Body = stringBody{strings.NewReader("ok")}
+		poo.RelayWith(relayStub{res}, func() {})
+		_, err := poo.Do(context.Background(), Request{Address: "127.0.0.1:1"}, "mine", headWithID)
+		if name == "sound" {
+			require.NoError(t, err)
+			continue
+		}
+		var mal *call.MalformedError
+		require.ErrorAs(t, err, &mal, name)
+	}
+}
--- a/io/conns/endless_test.go
+++ b/io/conns/endless_test.go
@@ -12,8 +12,10 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
+	"lovagestream/core/call"
 	"lovagestream/io/clock"
 	"lovagestream/io/group"
 )
@@ -114,6 +116,8 @@
 			runtime.ReadMemStats(&after)
 			require.Error(t, err)
 			require.NoError(t, ctx.Err())
+			var bnd *call.BoundError
+			require.Equal(t, tst.name != "interim responses", errors.As(err, &bnd), "%v", err)
 			require.LessOrEqual(t, read.Load(), int64(mostRead), "bytes read")
 			require.LessOrEqual(t, after.TotalAlloc-before.TotalAlloc, uint64(mostRead), "bytes allocated")
 		})
--- a/io/conns/exchange.go
+++ b/io/conns/exchange.go
@@ -1,6 +1,7 @@
 package conns
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"io"
@@ -14,6 +15,7 @@
 	"lovagestream/core/call"
 	"lovagestream/core/event"
 	"lovagestream/core/reach"
+	"lovagestream/io/frame"
 )
 
 // ServerClosed reports whether an error means that the server closed or reset the
@@ -168,9 +170,7 @@
 	left := int64(maxHeadBytes)
 	for range maxResponses {
 		rep.con.soc.bind(partHead, maxHeadBytes, left)
-		// Closing the body would read the rest of it; the connection is closed
-		// instead.
-		res, err := http.ReadResponse(rep.con.rdr, rep.req) //nolint:bodyclose // see above
+		err := rep.con.checkHead()
 		left = rep.con.soc.release()
 		if bnd := rep.con.soc.exceeded; bnd != nil {
 			return bnd
@@ -178,6 +178,12 @@
 		if err != nil {
 			return err
 		}
+		// Closing the body would read the rest of it; the connection is closed
+		// instead.
+		res, err := http.ReadResponse(rep.con.rdr, rep.req) //nolint:bodyclose // see above
+		if err != nil {
+			return err
+		}
 		if res.StatusCode < http.StatusOK {
 			continue
 		}
@@ -206,6 +212,30 @@
 	return errors.New("no final response to this request among the responses received")
 }
 
+// checkHead waits for the next head, and checks it. The head stays in the read buffer.
+func (con *conn) checkHead() error {
+	for {
+		got, _ := con.rdr.Peek(con.rdr.Buffered())
+		if size := frame.HeadSize(got); size > 0 {
+			return frame.CheckHead(got[:size])
+		}
+		if len(got) == con.rdr.Size() {
+			con.growBuffer(got)
+		}
+		switch _, err := con.rdr.Peek(len(got) + 1); {
+		case errors.Is(err, io.EOF):
+			return io.ErrUnexpectedEOF
+		case err != nil:
+			return err
+		}
+	}
+}
+
+// growBuffer makes room for a head of any size within its bound, after got, which fills the buffer.
+func (con *conn) growBuffer(got []byte) {
+	con.rdr = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(got)), &con.soc), maxHeadBytes+readBufferSize)
+}
+
 // skip reads the body of a response to another request.
 func (con *conn) skip(res *http.Response) error {
 	if res.ContentLength > maxSkippedBytes {
@@ -278,6 +308,9 @@
 			return num, cerr
 		}
 	}
+	if terr := frame.CheckFields(partTrailer, rep.res.Trailer); terr != nil {
+		return num, terr
+	}
 	rep.bodyRead = true
 	return num, err
 }
--- a/io/conns/fuzz_test.go
+++ b/io/conns/fuzz_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"lovagestream/io/clock"
+	"lovagestream/io/frame"
 	"lovagestream/io/group"
 )
 
@@ -61,7 +62,7 @@
 func (con *scriptedConn) SetDeadline(time.Time) error { return nil }
 
 // Whatever bytes a server sends on a connection, with or without end: what is read of them is
-// bounded, and no response is taken for another request's.
+// bounded, what is taken is an answer, and none is taken for another request's.
 func FuzzResponses(f *testing.F) {
 	const own, other = "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 2\r\n\r\nno"
 	for _, text := range []string{
@@ -72,6 +73,9 @@
 		f.Add([]byte(text), false)
 		f.Add([]byte(text), true)
 	}
+	for _, cas := range answerCases(f) {
+		f.Add([]byte(cas.text), false)
+	}
 	const mostBody = 64 << 10
 	f.Fuzz(func(t *testing.T, data []byte, repeat bool) {
 		var con *scriptedConn
@@ -89,6 +93,7 @@
 			if err != nil {
 				continue
 			}
+			require.NoError(t, frame.CheckResponse(&http.Response{ProtoMajor: 1, StatusCode: rep.ResponseHead.Status, Header: rep.Header}))
 			if id := rep.ResponseHead.RequestID; id != "mine" {
 				require.Empty(t, id)
 				require.Equal(t, 1, con.requests, "a response without an ID on a used connection")
--- a/io/conns/path.go
+++ b/io/conns/path.go
@@ -13,6 +13,7 @@
 	"lovagestream/core/call"
 	"lovagestream/core/reach"
 	"lovagestream/io/clock"
+	"lovagestream/io/frame"
 )
 
 const (
@@ -361,6 +362,11 @@
 	if rerr != nil {
 		return nil, rerr
 	}
+	// Relays of earlier builds pass on what net/http takes.
+	if err := frame.CheckResponse(&http.Response{ProtoMajor: 1, StatusCode: res.Status, Header: res.Header}); err != nil {
+		res.Body.Close()
+		return nil, &SendError{Sent: true, Address: req.Address, Cause: err}
+	}
 	if lim == nil {
 		poo.paths.update(func(sta *reach.Paths) bool {
 			sta.Relayed(now, ser)
--- a/io/conns/socket.go
+++ b/io/conns/socket.go
@@ -27,6 +27,7 @@
 	partHead    = "head"
 	partSkipped = "response to another request"
 	partBody    = "body"
+	partTrailer = "trailer"
 )
 
 // socketReader reads from a connection, within bounds while a part of a response is read
--- a/io/entry/notsent.go
+++ b/io/entry/notsent.go
@@ -24,6 +24,8 @@
 	reasonPathLost = "path-lost"
 	// reasonTooLong is the reason of responses that exceed a bound on their size or time.
 	reasonTooLong = "answer-too-long"
+	// reasonMalformed is the reason of responses that aren't ones by the rules of HTTP.
+	reasonMalformed = "answer-malformed"
 	// reasonNoMemory is the reason of responses for which this instance has no memory.
 	reasonNoMemory = "no-memory-for-answer"
 	// reasonCrashes is the reason of requests that are refused since requests like them
@@ -68,9 +70,12 @@
 func noResponse(err error, retryable bool) outcome {
 	out := outcome{retryable: retryable, mayHaveRun: true, reason: "no-answer", err: err}
 	var bnd *call.BoundError
+	var mal *call.MalformedError
 	switch {
 	case errors.As(err, &bnd):
 		out.reason = reasonTooLong
+	case errors.As(err, &mal):
+		out.reason = reasonMalformed
 	case isPathLost(err):
 		out.reason = reasonPathLost
 	}
@@ -81,10 +86,13 @@
 func brokenBody(err error, retryable bool) outcome {
 	out := outcome{retryable: retryable, mayHaveRun: true, reason: "answer-broken", err: errors.Wrap(err, "body")}
 	var bnd *call.BoundError
+	var mal *call.MalformedError
 	var mem *conns.MemoryError
 	switch {
 	case errors.As(err, &bnd):
 		out.reason = reasonTooLong
+	case errors.As(err, &mal):
+		out.reason = reasonMalformed
 	case errors.As(err, &mem):
 		out.reason = reasonNoMemory
 	}
