Readers that use net/http's transport take no malformed head either

What callers would see: on the pipelines' own path, results of servers whose head has a name with a blank, or names another version of HTTP.

Cause: as on the platform's path, whatever net/http takes was taken.

The fault is "garbage".

--- a/io/frame/head.go
+++ b/io/frame/head.go
@@ -142,6 +142,23 @@
 	return nil
 }
 
+// Transport is a transport that takes no response that CheckResponse refuses.
+type Transport struct{ *http.Transport }
+
+// RoundTrip makes a request. It returns the response, or the error of the transport or of
+// CheckResponse.
+func (tra Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	res, err := tra.Transport.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	if err := CheckResponse(res); err != nil {
+		_ = res.Body.Close()
+		return nil, err
+	}
+	return res, nil
+}
+
 // CheckResponse checks what is left of a response's head once net/http has read it: for readers that
 // use its transport. The error is a *call.MalformedError.
 func CheckResponse(res *http.Response) error {
--- a/io/order/order.go
+++ b/io/order/order.go
@@ -72,7 +72,7 @@
 // New returns a Sender. Run must be started before the first order.
 func New(lop Loop, src origin.SourceAddr, clk clock.Service, log *logs.Logger) *Sender {
 	tra := &http.Transport{DialContext: src.DialFunc(callTimeout), MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: frame.MaxHeadBytes}
-	return &Sender{lop: lop, clk: clk, log: log, hc: &http.Client{Transport: tra, Timeout: callTimeout}, grp: group.New(context.Background())}
+	return &Sender{lop: lop, clk: clk, log: log, hc: &http.Client{Transport: frame.Transport{Transport: tra}, Timeout: callTimeout}, grp: group.New(context.Background())}
 }
 
 // Run waits until the context ends, then cancels the calls in flight and waits for
--- a/io/stage/exchange.go
+++ b/io/stage/exchange.go
@@ -16,6 +16,7 @@
 	"lovagestream/core/config"
 	"lovagestream/core/route"
 	"lovagestream/io/clock"
+	"lovagestream/io/frame"
 	"lovagestream/io/trace"
 )
 
@@ -114,6 +115,9 @@
 	}
 	defer exc.release(res)
 	exc.progress()
+	if err := frame.CheckResponse(res); err != nil {
+		return nil, exc.fail(FaultMalformed, err)
+	}
 	if got := res.Header.Get(HeaderCall); got != exc.id {
 		return nil, exc.mismatch(got)
 	}
--- a/io/stage/link_test.go
+++ b/io/stage/link_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -207,3 +209,42 @@
 	}
 	require.Len(t, conns, 1)
 }
+
+// A server answers before it has read a call, and resets the connection after a part of its
+// answer. The part must not be taken for the answer.
+func TestEarlyAnswerThatIsResetIsNoAnswer(t *testing.T) {
+	for name, stg := range map[string]int{"plain": plainStage, "stream": generateStage} {
+		t.Run(name, func(t *testing.T) {
+			lis, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer func() { _ = lis.Close() }()
+			grp := group.New(context.Background())
+			grp.Go(func(context.Context) error {
+				con, err := lis.Accept()
+				if err != nil {
+					return nil
+				}
+				req, err := http.ReadRequest(bufio.NewReaderSize(con, 64))
+				if err != nil {
+					return nil
+				}
+				id := req.Header.Get(stage.HeaderCall)
+				part := `{"id":"` + id + `","output":[1`
+				if stg == generateStage {
+					part = tokenEvent(id, 0)
+				}
+				_, _ = io.WriteString(con, "HTTP/1.1 200 OK\r\n"+stage.HeaderCall+": "+id+"\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"+part)
+				time.Sleep(100 * time.Millisecond)
+				_ = con.(*net.TCPConn).SetLinger(0)
+				_ = con.Close()
+				return nil
+			})
+			raw := &rawServer{lis: lis}
+			fix := raw.fixture(t)
+			cal := fix.call(stg, time.Minute).WithInputs([]stage.Input{{From: "x", Data: []byte(strconv.Quote(strings.Repeat("x", 8<<20)))}})
+			res := fix.do(t.Context(), cal)
+			require.Equal(t, stage.FaultConnLost, res.fault)
+			require.Nil(t, res.rep)
+		})
+	}
+}
--- a/io/stage/stage_test.go
+++ b/io/stage/stage_test.go
@@ -165,6 +165,27 @@
 	}
 }
 
+// respondRaw replies with these bytes, and closes the connection once the caller has.
+func respondRaw(text func(id string) string) http.HandlerFunc {
+	return func(wri http.ResponseWriter, req *http.Request) {
+		con, _, err := http.NewResponseController(wri).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(con, text(req.Header.Get(stage.HeaderCall)))
+		_ = con.Close()
+	}
+}
+
+// plainAnswer returns a whole answer of a plain server whose head has a status line and another
+// line.
+func plainAnswer(status, line string) func(id string) string {
+	return func(id string) string {
+		body := `{"id":"` + id + `","output":[1]}`
+		return fmt.Sprintf("%s\r\n%s: %s\r\n%s\r\nContent-Length: %d\r\n\r\n%s", status, stage.HeaderCall, id, line, len(body), body)
+	}
+}
+
 // respondForever writes part until the connection is closed.
 func respondForever(part string) http.HandlerFunc {
 	return func(wri http.ResponseWriter, req *http.Request) {
@@ -251,6 +272,17 @@
 		{"connection ended inside the reply", plainStage, respondUnframed(func(id string) string { return `{"id":"` + id + `","out` }), stage.FaultConnLost, ""},
 		{"connection ended before the reply", plainStage, respondUnframed(func(string) string { return "" }), stage.FaultConnLost, ""},
 		{"endless reply", plainStage, respondForever("[["), stage.FaultTooLarge, ""},
+		{"whole reply, raw", plainStage, respondRaw(plainAnswer("HTTP/1.1 200 OK", "A: b")), "", ""},
+		{"status 000", plainStage, respondRaw(plainAnswer("HTTP/1.1 000 None", "A: b")), stage.FaultMalformed, ""},
+		{"status 999", plainStage, respondRaw(plainAnswer("HTTP/1.1 999 More", "A: b")), stage.FaultMalformed, ""},
+		{"another version", plainStage, respondRaw(plainAnswer("HTTP/9.9 200 OK", "A: b")), stage.FaultMalformed, ""},
+		{"blank in a name", plainStage, respondRaw(plainAnswer("HTTP/1.1 200 OK", "A B: c")), stage.FaultMalformed, ""},
+		{"blank after a name", plainStage, respondRaw(plainAnswer("HTTP/1.1 200 OK", "A : b")), stage.FaultMalformed, ""},
+		{"control byte in a name", plainStage, respondRaw(plainAnswer("HTTP/1.1 200 OK", "A\x01: b")), stage.FaultConnLost, ""},
+		{"blank after the coding's name", generateStage, respondRaw(func(id string) string {
+			body := wholeStream(id)
+			return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding : chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", stage.HeaderCall, id, len(body), body)
+		}), stage.FaultMalformed, ""},
 	}
 	for _, cas := range cases {
 		t.Run(cas.name, func(t *testing.T) {
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -95,9 +95,10 @@
 // NewReader returns a reader of the platform at a base URL. The seed is that of its
 // random delays.
 func NewReader(base string, src origin.SourceAddr, ctl Control, clk clock.Service, log *logs.Logger, seed uint64) *Reader {
+	tra := &http.Transport{DialContext: src.DialFunc(callTimeout), MaxIdleConnsPerHost: 2, MaxResponseHeaderBytes: frame.MaxHeadBytes}
 	return &Reader{
 		base: base,
-		hc:   &http.Client{Timeout: callTimeout, Transport: &http.Transport{DialContext: src.DialFunc(callTimeout), MaxIdleConnsPerHost: 2, MaxResponseHeaderBytes: frame.MaxHeadBytes}},
+		hc:   &http.Client{Timeout: callTimeout, Transport: frame.Transport{Transport: tra}},
 		ctl:  ctl,
 		clk:  clk,
 		log:  log,
