--- a/io/frame/frame.go
+++ b/io/frame/frame.go
@@ -1,5 +1,6 @@
 // Package frame detects requests that have both a Content-Length and a
-// Transfer-Encoding field, and reads request bodies with limits.
+// Transfer-Encoding field, checks the heads of responses more strictly than
+// net/http, and reads bodies with limits.
 //
 // A load balancer that uses one field and a server that uses the other disagree
 // on where the request ends, so a caller can hide a second request in what the
--- a/io/frame/head.go
+++ b/io/frame/head.go
@@ -171,8 +171,8 @@
 	return CheckFields(partField, res.Header)
 }
 
-// CheckFields checks the names of fields that net/http has read. part names them in the error, a
-// *call.MalformedError.
+// CheckFields checks the names and values of fields that net/http has read. part names them in the
+// error, a *call.MalformedError.
 func CheckFields(part string, hdr http.Header) error {
 	for name, values := range hdr {
 		if !httpguts.ValidHeaderFieldName(name) {
