--- a/stand/proxy/proxy.go
+++ b/stand/proxy/proxy.go
@@ -233,8 +233,8 @@
 	}
 }
 
-// wasReset reports whether a connection that has ended was reset. The other direction may have been
-// told of that in place of the reader.
+// wasReset reports whether a connection that has ended was reset. A socket reports that once, so the
+// other direction may have got the error.
 func wasReset(con net.Conn) bool {
 	const closed = 7 // TCP_CLOSE
 	tcp, ok := con.(*net.TCPConn)
